Thin copies refuse no calls by an answer time that they have not learned yet

At 2.7 answers a second a copy has its 20 answers after 8 s.

Cause: tier_has_room() judged by kStartBase until then. A thin copy takes the upper bound now, kMostBase, until it has learned.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -56,6 +56,7 @@
 constexpr double kBaseFall = 5;       // s; how fast a quicker tier becomes the usual
 constexpr double kBaseRise = 60;      // s; how fast a slower one does: queues must not
 constexpr double kLeastRoom = 2;      // calls in flight, over all copies, that any server has room for
+constexpr double kThinRoom = 1.75;    // calls; a part of a server's room below it is too coarse a measure
 constexpr double kFewCalls = 3;  // calls in flight; a copy with fewer at a time is sparse: they tell nothing
 constexpr double kTierMemory = 2.5;  // s; smoothing of calls in flight and of answers, all servers together
 constexpr double kSparseStartCalls = 1.5;  // and these at the start, fading
@@ -262,17 +263,21 @@
            unmeasured_room(s.met_at) / sharers_ + kQueueFactor * idle_wait() * s.answered.at(now_);
   }
 
-  // Whether this copy's part of an average server's room is less than one call.
+  // Whether this copy's part of an average server's room is too few calls to be counted in whole ones.
   bool thin() const {
     const double calls = kQueueFactor * idle_wait() * std::max(share_, admitted_.at(now_));
-    return calls / static_cast<double>(ring_.size()) + kLeastRoom / sharers_ < 1;
+    return calls / static_cast<double>(ring_.size()) + kLeastRoom / sharers_ < kThinRoom;
   }
 
   // The same for all servers. Danger: calls go where a server's noisy measure is in their favour.
   bool tier_has_room() const {
     if (settings_.tier > 0) return true;
     // Calls in flight on average against the rate of answers tell how long answers take.
-    const double room = kTierFactor * idle_wait() * answered_.at(now_);
+    // Danger: a copy with few calls has learned no usual answer time for its first seconds; where an idle
+    // tier is slower than the start's assumption, each of many copies refuses a third of a calm fleet's
+    // calls.
+    const double usual = idle_.learned || !thin() ? idle_wait() : kMostBase * aim_.mean;
+    const double room = kTierFactor * usual * answered_.at(now_);
     if (sparse())
       return in_flight_.mean(now_) <
              kSparseSlack + kSparseStartCalls * std::exp((met_at_ - now_) / kTierMemory) + room;
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -238,6 +238,16 @@
   EXPECT_LE(calm.refused, calm.sent / 30);
 }
 
+// Danger: with few calls a copy learns its tier's usual answer time late, and what was assumed instead had
+// each of many copies refuse calls from the first second on where an idle tier is slower.
+TEST(Room, BeforeTheUsualAnswerTimeIsLearnedACalmStartIsServed) {
+  for (const double rate : {6.0, 10.0}) {
+    const FleetDay start = fleet_day(48, 16, rate, 0.7, 4);
+    EXPECT_GT(start.sent, 20) << rate;
+    EXPECT_LE(start.refused, 3) << rate;
+  }
+}
+
 // And the room of all servers together is a limit all the same.
 TEST(Room, ManyCopiesHoldBackWhenAnswersTakeTooLong) {
   const FleetDay jammed = fleet_day(48, 16, 12, 5, 60);
