A cold server gets more once it answers as quickly as the others do

Cause: budget_allows() held a cold server to the capacity it surely has by now, though it warms with its work; and worth_now() counted its warmth a second time, so that it was drawn about as seldom as a token came and half of the tokens were never used. Now it is drawn by its size, and its budget rises from 1.5 to at most 4.5 times the sure part as far as it answers this copy as quickly as the others. A burst no longer raises it: at the first tier the calls that size it are those within the allowances at most.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,6 +44,7 @@
 constexpr double kZonePower = 4;        // how strongly the zones' answer times shift that part
 constexpr double kZoneAnswers = 30;     // calls; a zone's measure is steadier than one server's
 constexpr double kColdBudget = 1.5;     // x its sure capacity: others run at part load, rules allow more
+constexpr double kColdTrust = 2;        // of that budget; what quick answers add to it at most
 constexpr double kAdmittedMemory = 5;   // s; smoothing of the admitted rate that sizes cold budgets
 
 constexpr double kQueueFactor = 1.5;  // x the usual answer time of an idle tier; longer queues get no call
@@ -297,14 +298,26 @@
                     settings_.start_capacity + (1 - settings_.start_capacity) * age / settings_.ramp_time);
   }
 
+  // Danger: work warms a server up sooner than the sure time, and what is held to that time stands idle
+  // beside crowded ones. One that answers this copy as quickly as the others may have more.
+  double cold_budget(const ServerNode& s) const {
+    const double told = s.answers.at(now_).weight;
+    const double well = std::clamp(2 - slowness(s), 0.0, 1.0) * told / (kPriorAnswers + told);
+    return kColdBudget * (1 + kColdTrust * well);
+  }
+
   // Whether a cold server's budget at this copy has room. Danger: all copies together can push a cold server
   // over; each spends no more than the server's part of its own traffic, scaled to what it can do so far.
   bool budget_allows(ServerNode& s) {
     const double warm = warmth(s);
     if (warm >= 1) return true;
-    const double part = admitted_.at(now_) * s.told.weight / ready_weight_;
-    s.cold_tokens = std::min(1.0 + part * 0.1,
-                             s.cold_tokens + (now_ - s.cold_at) * part * std::min(1.0, warm * kColdBudget));
+    // A burst is no reason to send a cold server more: what the tenants may send in all is what the tier
+    // bears.
+    const double calls =
+        settings_.tier == 0 && share_ > 0 ? std::min(admitted_.at(now_), share_) : admitted_.at(now_);
+    const double part = calls * s.told.weight / ready_weight_;
+    s.cold_tokens = std::min(
+        1.0 + part * 0.1, s.cold_tokens + (now_ - s.cold_at) * part * std::min(1.0, warm * cold_budget(s)));
     s.cold_at = now_;
     return s.cold_tokens >= 1;
   }
@@ -313,8 +326,7 @@
 
   // How much of the traffic a server should get: its size and what it is worth now.
   double worth_now(const ServerNode& s) const {
-    return (is_far(s) ? far_part_ : 1) * s.told.weight * std::min(1.0, warmth(s) * kColdBudget) /
-           std::pow(slowness(s), kSlowPower);
+    return (is_far(s) ? far_part_ : 1) * s.told.weight / std::pow(slowness(s), kSlowPower);
   }
 
   bool is_far(const ServerNode& s) const { return stays_ && s.told.zone != settings_.zone; }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -222,11 +222,13 @@
   EXPECT_TRUE(copy.at(0, failed).empty());
 }
 
-// Several copies, one server that has just started: together they stay within what it can take.
-TEST(ColdServer, TheCopiesTogetherKeepTheBudget) {
-  constexpr int kCopies = 10;
-  constexpr int kServers = 10;
-  constexpr double kRate = 20;  // a copy; a server's part is 20 a second over all copies
+// Several copies, one server that starts at 109, of which they hear at 110. Returns when it was sent to; its
+// answers take so many times as long as those of the others.
+constexpr int kCopies = 10;
+constexpr int kServers = 10;
+constexpr double kRate = 20;  // a copy; a server's part is 20 a second over all copies
+
+std::vector<double> sends_to_cold(double times_as_long) {
   Settings s = basic_settings();
   s.copy_count = kCopies;
   s.start_capacity = 0.14;
@@ -247,12 +249,21 @@
       }
       copy.now = now;
       const std::string id = std::to_string(i);
+      double took = 0.1;
       for (const Send& send : all<Send>(copy.request(id))) {
-        if (send.server == "s0" && now >= 110) sends.push_back(now);
+        if (send.server != "s0" || now < 110) continue;
+        sends.push_back(now);
+        took *= times_as_long;
       }
-      copy.end(id, Outcome::kDelivered);
+      copy.end(id, Outcome::kDelivered, 0, took);
     }
   }
+  return sends;
+}
+
+// Together they stay within what it can take.
+TEST(ColdServer, TheCopiesTogetherKeepTheBudget) {
+  const std::vector<double> sends = sends_to_cold(1);
   const double share = kCopies * kRate / kServers;
   for (int step = 0; step < 48; ++step) {
     const double t = 110 + 0.5 * step;
@@ -268,6 +279,20 @@
   EXPECT_GE(early, 28);
 }
 
+// Danger: many copies that each hold it to its sure capacity, and count its warmth in the draw as well, leave
+// a newcomer idle beside crowded servers. Once it answers as quickly as they do it gets more; slow, it does
+// not.
+TEST(ColdServer, OneThatAnswersAsQuicklyAsTheOthersGetsMore) {
+  const auto late = [](const std::vector<double>& sends) {
+    return std::count_if(sends.begin(), sends.end(), [](double at) { return at >= 114 && at < 120; });
+  };
+  const auto quick = late(sends_to_cold(1));
+  const auto slow = late(sends_to_cold(3));
+  EXPECT_GE(quick, 48);
+  EXPECT_GE(slow, 10);
+  EXPECT_GT(quick, 2 * slow);
+}
+
 TEST(ColdServer, AFleetThatIsAllColdStillServes) {
   Settings s = basic_settings();
   s.start_capacity = 0.2;
