Copies with few calls keep the floor of tenant limits that all others have

Cause: first_limit() let the limit of a copy with under 10 calls a second fall to 0.15 of its part, where all others stop at 1.2. Its reviews see 5 to 9 calls and cut by a quarter when one took over 0.6 of its aim, as one in eight does in a calm tier. So every copy of a large fleet ended at its floor by chance. A jam is let run off by the tier's room, which a copy with few calls has as well.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -25,7 +25,6 @@
 constexpr double kStartShare = 1.2;  // x allowance; start of a limit, the first step above it being learned
 constexpr double kFloorShare = 1.2;  // x allowance; headroom as copies do not get even parts of a tenant
 constexpr double kSparseStart = 4;   // x allowance; chance gives a copy with few calls several times its part
-constexpr double kSparseFloor = 0.15;  // x allowance; a jam in work that nothing stops must be let run off
 constexpr double kDeepFloorShare = 6;  // x allowance past tier 0: a refusal there wastes the work above it
 constexpr double kFloorRate = 2;       // calls/s over all copies; least floor of a limit
 constexpr double kReviewPeriod = 1;    // s; least time between changes of a limit, a feedback delay
@@ -166,9 +165,10 @@
     if (told.allowance) {
       const double part = t.part = *told.allowance / settings_.copy_count;
       const bool few = window_ > kBucket * kLeastBuckets;
-      t.floor = std::max(kFloorRate / settings_.copy_count, part * (settings_.tier > 0 ? kDeepFloorShare
-                                                                    : few              ? kSparseFloor
-                                                                                       : kFloorShare));
+      // Danger: with few calls a review is a matter of chance, and a copy that it may cut below the tenant's
+      // part ends there: a third of a calm day was denied. A jam is let run off by the tier's room.
+      t.floor = std::max(kFloorRate / settings_.copy_count,
+                         part * (settings_.tier > 0 ? kDeepFloorShare : kFloorShare));
       t.limit = std::max(t.floor, part * (few ? kSparseStart : kStartShare));
       t.worth = settings_.over_share_worth;
     }
@@ -207,7 +207,7 @@
     if (t.bad > kBadShare * t.ended) {
       t.limit = std::max(t.floor, std::min(t.limit, std::max(accepted, t.part)) * kDrop);
     } else if (t.bad <= kFineShare * t.ended && accepted > t.limit / 2) {
-      t.limit *= 1 + kRise * (t.limit < kStartShare * t.part ? 1 : t.worth);
+      t.limit *= 1 + kRise * t.worth;
     }
     t.ended = t.bad = 0;
     t.next_review = now_ + kReviewPeriod;
