Add the operators' address: GET /ready and GET /metrics

Design: a listener of its own in node/management.*, with 12 connections and the descriptors for them out of those already set aside; one call each, answered as soon as its head is there, the oldest peer without a call evicted first. Counters are plain numbers in node/metrics.*, bumped where a request or an attempt is final; gauges are read from their owners. Which servers are avoided is the module's word: Balancer::members(), a const query. /ready and /healthz ask the same predicate. Rejected: serving both calls on the clients' listener by path. A crowd there would keep operators out, and the figures would be open to every client.

--- a/include/quinceusher/balancer.h
+++ b/include/quinceusher/balancer.h
@@ -184,6 +184,12 @@
 
 // ---------------------------------------------------------------- the balancer
 
+// What a copy makes of its list of servers.
+struct MembersView {
+  std::size_t listed = 0;   // on the list, those that drain included
+  std::size_t avoided = 0;  // of these, not sent to now: they drain, or are shunned while others are well
+};
+
 // What can be observed of one tenant's admission.
 struct TenantView {
   double rate_limit = 0;          // learned limit, calls per second
@@ -205,6 +211,7 @@
 
   // For metrics; changes nothing. A tenant out of range is answered as untold traffic.
   TenantView tenant(double now, std::size_t tenant) const;
+  MembersView members(double now) const;
 
  private:
   class Impl;
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -115,6 +115,7 @@
   out.name = json::text(in, "name");
   out.listen = read_endpoint(json::text(in, "listen"));
   out.discovery = read_endpoint(json::text(in, "discovery"));
+  if (json::find(in, "management") != nullptr) out.management = read_endpoint(json::text(in, "management"));
   out.seed = read_seed(json::text(in, "seed"));
   if (const Json* limits = json::find(in, "limits")) {
     const int sockets = json::whole_or(*limits, "sockets", 1024);
--- a/node/config.h
+++ b/node/config.h
@@ -33,6 +33,7 @@
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> management;  // for operators alone; none: not opened
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 64;
   quinceusher::Settings settings;
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -37,11 +37,11 @@
 
 void log_line(const std::string& text) { std::fprintf(stderr, "%.3f %s\n", now(), text.c_str()); }
 
-Engine::Engine(boost::asio::io_context& io, const Config& config, ByteBudget& budget,
+Engine::Engine(boost::asio::io_context& io, const Config& config, ByteBudget& budget, Metrics& metrics,
                std::size_t most_upstream_sockets, std::function<void()> watch)
     : io_(io),
       balancer_(config.settings, config.seed),
-      upstream_(io, config, budget, most_upstream_sockets),
+      upstream_(io, config, budget, metrics, most_upstream_sockets),
       watch_(std::move(watch)),
       config_(config) {}
 
--- a/node/engine.h
+++ b/node/engine.h
@@ -39,7 +39,7 @@
  public:
   using Reply = std::function<void(Answer&&)>;
 
-  Engine(boost::asio::io_context& io, const Config& config, ByteBudget& budget,
+  Engine(boost::asio::io_context& io, const Config& config, ByteBudget& budget, Metrics& metrics,
          std::size_t most_upstream_sockets, std::function<void()> watch);
 
   void start();
@@ -65,6 +65,8 @@
   // Whether requests can be served: there is a server to send to, and discovery has been heard or asked.
   bool ready() const { return asked_ && servers_known_; }
   std::size_t open() const { return open_; }
+  // What the module makes of its list now.
+  quinceusher::MembersView members() const { return balancer_.members(now()); }
 
  private:
   struct Try {
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -91,6 +91,7 @@
     error_code ignored;
     socket_.close(ignored);
     release();
+    if (taken_) count(0);  // whoever has gone had no whole answer
     if (waiting) listener_.engine_.gone(request_);
     listener_.closed();
   }
@@ -221,6 +222,7 @@
       Intake::check_framing(head);
       if (Intake::path_of(head) == "/api") {
         call_.emplace(listener_.intake_.read(head));
+        class_ = call_->facts.request_class;
         // Guards against a request that runs twice, or an answer that goes to the wrong client.
         if (listener_.engine_.knows(call_->client_id)) throw BadRequest{409, "this Request-Id is open"};
       }
@@ -256,9 +258,9 @@
     const std::string_view path = Intake::path_of(request);
     if (path == "/healthz") {
       head_only_ = request.method() == http::verb::head;
-      const unsigned status = request.method() != http::verb::get && !head_only_  ? 405
-                              : listener_.engine_.ready() && !listener_.draining_ ? 200
-                                                                                  : 503;
+      const unsigned status = request.method() != http::verb::get && !head_only_ ? 405
+                              : listener_.ready()                                ? 200
+                                                                                 : 503;
       return answer({status, 0, {}, {}, {}}, false);
     }
     if (!call_) return answer({404, 0, {}, {}, {}}, false);
@@ -275,6 +277,8 @@
     if (listener_.engine_.knows(call.client_id)) return turn_away(409, "this Request-Id is open");
     if (listener_.crowded()) return turn_away(503);
     enter(State::kWaiting);
+    ++listener_.pending_;
+    taken_ = true;
     request_ = 0;
     wait_readable();
     const std::uint64_t number =
@@ -287,6 +291,7 @@
 
   void answer(Answer&& final, bool close) {
     close_after_ = close || !keep_alive_ || listener_.finishing_;
+    status_ = final.status;
     release();
     head_ = head_of(final, close_after_);
     answer_ = std::move(final);
@@ -301,6 +306,9 @@
   }
 
   void answered() {
+    // A sound request that is turned away was none of the engine's, and counts all the same.
+    if (class_ && (taken_ || status_ == 503 || status_ == 409 || status_ == 413)) count(status_);
+    class_.reset();
     head_.clear();
     answer_ = {};
     used_ = true;
@@ -323,6 +331,13 @@
     parse();
   }
 
+  // A request of a known class has come to its end.
+  void count(unsigned status) {
+    listener_.metrics_.answered(*class_, status);
+    if (std::exchange(taken_, false)) --listener_.pending_;
+    class_.reset();
+  }
+
   // What is held for a request that is being read.
   void release() {
     parser_.reset();
@@ -334,7 +349,10 @@
   tcp::socket socket_;
   State state_ = State::kNew;
   bool listed_ = false, waiting_ = false, keep_alive_ = false, head_only_ = false, close_after_ = false;
-  bool used_ = false;  // has had an answer
+  bool used_ = false;   // has had an answer
+  bool taken_ = false;  // the engine has the request, or its answer is being written
+  unsigned status_ = 0;
+  std::optional<std::size_t> class_;  // of a sound request that has had no whole answer
   Order::iterator place_;
   double since_ = 0, came_at_ = 0;
   const double connected_at_ = now();
@@ -348,10 +366,11 @@
 };
 
 Listener::Listener(asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
-                   std::size_t most_connections)
+                   Metrics& metrics, std::size_t most_connections)
     : io_(io),
       engine_(engine),
       budget_(budget),
+      metrics_(metrics),
       intake_(config),
       most_(most_connections),
       acceptor_(io),
--- a/node/listener.h
+++ b/node/listener.h
@@ -12,6 +12,7 @@
 #include "node/config.h"
 #include "node/engine.h"
 #include "node/intake.h"
+#include "node/metrics.h"
 
 namespace nettlestand {
 
@@ -21,7 +22,7 @@
 
   // Throws boost::system::system_error when the address can't be listened on.
   Listener(boost::asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
-           std::size_t most_connections);
+           Metrics& metrics, std::size_t most_connections);
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -32,6 +33,10 @@
   // Accepts what has been connected by now, and nothing after that.
   void stop_accepting();
   std::size_t connections() const { return count_; }
+  // Requests that are taken and have not had their whole answer.
+  std::size_t pending() const { return pending_; }
+  // Whether this process can serve: what /healthz and the operators are told.
+  bool ready() const { return engine_.ready() && !draining_; }
 
  private:
   using Order = std::list<std::shared_ptr<Connection>>;
@@ -47,9 +52,11 @@
   boost::asio::io_context& io_;
   Engine& engine_;
   ByteBudget& budget_;
+  Metrics& metrics_;
   const Intake intake_;
   const std::size_t most_;
-  std::size_t count_ = 0, busy_ = 0;  // busy: with a request that waits for its answer or gets it
+  std::size_t count_ = 0, pending_ = 0;
+  std::size_t busy_ = 0;  // busy: with a request that waits for its answer or gets it
   bool draining_ = false, finishing_ = false, accepting_ = false, full_ = false;
   // Each in the order in which they became so. fresh: has sent nothing yet; ending: has its last answer.
   Order fresh_, idle_, reading_, writing_, ending_;
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <functional>
 #include <iterator>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -19,13 +20,15 @@
 #include "node/discovery.h"
 #include "node/engine.h"
 #include "node/listener.h"
+#include "node/management.h"
+#include "node/metrics.h"
 
 namespace {
 
 namespace asio = boost::asio;
 namespace ns = nettlestand;
 
-constexpr std::size_t kOtherSockets = 40;  // the event loop's, standard ones, discovery, and headroom
+constexpr std::size_t kOtherSockets = 40;  // the event loop's, standard ones, discovery, operators, headroom
 constexpr std::size_t kBodyPart = 3;       // of the memory, the part that bodies may take up: a third
 constexpr int kBadConfig = 2, kCannotStart = 1;
 
@@ -45,7 +48,10 @@
   std::ifstream in(path);
   if (!in) throw std::runtime_error(std::string("can't read ") + path);
   const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-  return ns::read_config(text);
+  ns::Config out = ns::read_config(text);
+  const char* management = std::getenv("GW_MANAGEMENT");
+  if (!out.management && management != nullptr) out.management = ns::read_endpoint(management);
+  return out;
 }
 
 double longest_deadline(const quinceusher::Settings& settings) {
@@ -65,11 +71,19 @@
                    {[this](const ns::ServerList& list) { engine_.list_came(list); },
                     [this] { engine_.watch_failed(); }}),
         budget_(config.memory_mb * 1024 * 1024 / kBodyPart),
-        engine_(io_, config, budget_, sockets_ * 9 / 20, [this] { discovery_.watch(); }),
-        listener_(io_, config, engine_, budget_, sockets_ * 11 / 20),
+        metrics_(config.classes),
+        engine_(io_, config, budget_, metrics_, sockets_ * 9 / 20, [this] { discovery_.watch(); }),
+        listener_(io_, config, engine_, budget_, metrics_, sockets_ * 11 / 20),
         signals_(io_, SIGTERM, SIGINT),
         reload_(io_, SIGHUP),
-        look_(io_) {}
+        look_(io_) {
+    if (!config.management) return;
+    management_.emplace(
+        io_, *config.management,
+        ns::Management::Calls{[this] { return listener_.ready(); }, [this] { return figures(); }});
+    ns::log_line("operators at " + management_->address().address().to_string() + ":" +
+                 std::to_string(management_->address().port()));
+  }
 
   void run() {
     ns::log_line("listening on " + listener_.address().address().to_string() + ":" +
@@ -103,6 +117,11 @@
     });
   }
 
+  std::string figures() const {
+    const quinceusher::MembersView servers = engine_.members();
+    return metrics_.text({listener_.pending(), servers.listed, servers.avoided});
+  }
+
   void drain() {
     ns::log_line("draining");
     drain_began_ = ns::now();
@@ -138,8 +157,10 @@
   const bool alone_;  // the only node before its tier
   ns::Discovery discovery_;
   ns::ByteBudget budget_;
+  ns::Metrics metrics_;
   ns::Engine engine_;
   ns::Listener listener_;
+  std::optional<ns::Management> management_;
   asio::signal_set signals_, reload_;
   asio::steady_timer look_;
   double drain_began_ = 0;
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -192,6 +192,7 @@
     }
     std::string().swap(out_);
     state = State::kReading;
+    pool_.metrics_.attempt_written();
     wait_readable();
   }
 
@@ -301,9 +302,11 @@
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-Upstream::Upstream(asio::io_context& io, const Config& config, ByteBudget& budget, std::size_t most_sockets)
+Upstream::Upstream(asio::io_context& io, const Config& config, ByteBudget& budget, Metrics& metrics,
+                   std::size_t most_sockets)
     : io_(io),
       budget_(budget),
+      metrics_(metrics),
       connect_timeout_(config.connect_timeout),
       keep_idle_(config.idle_close * kKeepIdle),
       most_sockets_(most_sockets),
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -17,6 +17,7 @@
 
 #include "node/budget.h"
 #include "node/config.h"
+#include "node/metrics.h"
 #include "quinceusher/balancer.h"
 
 namespace nettlestand {
@@ -43,7 +44,8 @@
     std::uint64_t serial = 0;
   };
 
-  Upstream(boost::asio::io_context& io, const Config& config, ByteBudget& budget, std::size_t most_sockets);
+  Upstream(boost::asio::io_context& io, const Config& config, ByteBudget& budget, Metrics& metrics,
+           std::size_t most_sockets);
 
   // Starts an attempt. `done` is called exactly once, perhaps before this returns.
   Handle start(const std::string& server, std::shared_ptr<const Forward> request, double timeout, Done done);
@@ -77,6 +79,7 @@
 
   boost::asio::io_context& io_;
   ByteBudget& budget_;
+  Metrics& metrics_;
   const double connect_timeout_, keep_idle_;
   const std::size_t most_sockets_;
   std::size_t open_ = 0;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -157,6 +157,10 @@
     return {t.limit, factor_of(t, sums), sums.total, sums.declined};
   }
 
+  MembersView members(double now) const {
+    return servers_.view([&](const ServerNode& s) { return slowness(s, now) >= kIll; });
+  }
+
  private:
   // ---------------------------------------------------------------- admit?
 
@@ -302,7 +306,7 @@
   // beside crowded ones. One that answers this copy as quickly as the others may have more.
   double cold_budget(const ServerNode& s) const {
     const double told = s.answers.at(now_).weight;
-    const double well = std::clamp(2 - slowness(s), 0.0, 1.0) * told / (kPriorAnswers + told);
+    const double well = std::clamp(2 - slowness(s, now_), 0.0, 1.0) * told / (kPriorAnswers + told);
     return kColdBudget * (1 + kColdTrust * well);
   }
 
@@ -326,17 +330,17 @@
 
   // How much of the traffic a server should get: its size and what it is worth now.
   double worth_now(const ServerNode& s) const {
-    return (is_far(s) ? far_part_ : 1) * s.told.weight / std::pow(slowness(s), kSlowPower);
+    return (is_far(s) ? far_part_ : 1) * s.told.weight / std::pow(slowness(s, now_), kSlowPower);
   }
 
   bool is_far(const ServerNode& s) const { return stays_ && s.told.zone != settings_.zone; }
 
   // Answer time in comparison with the tier's. Calls still out count for as long as they have been: a server
   // that is silent or crowded shows before its calls end. Danger: few answers tell little, old ones nothing.
-  double slowness(const ServerNode& s) const {
+  double slowness(const ServerNode& s, double now) const {
     const double usual = std::max(tier_answer_.mean, 0.01);
-    const double open = (s.in_flight * now_ - s.sent_sum) / std::max(aim_.mean, 0.001);
-    const FadingMean::Sum told = s.answers.at(now_);
+    const double open = (s.in_flight * now - s.sent_sum) / std::max(aim_.mean, 0.001);
+    const FadingMean::Sum told = s.answers.at(now);
     return std::max((kPriorAnswers * usual + told.sum + open) / ((kPriorAnswers + told.weight) * usual),
                     kQuickest);
   }
@@ -371,7 +375,7 @@
         kFarPart * std::max(0.0, std::pow(better, kZonePower) - kZoneChance) / settings_.cross_zone_price;
     for (const std::size_t i : from) {
       ServerNode& s = servers_[i];
-      if (only_healthy && slowness(s) >= kIll) continue;
+      if (only_healthy && slowness(s, now_) >= kIll) continue;
       if (!has_room(s) || (only_untried && p.tried(s.order))) continue;
       if (!in_scope(p, s) || !budget_allows(s)) continue;
       choice_.emplace_back(i, worth_now(s));
@@ -512,7 +516,7 @@
   }
 
   void learn_from(const Pending& p, ServerNode& s, const AttemptResult& r) {
-    const bool was_well = slowness(s) < kIll;
+    const bool was_well = slowness(s, now_) < kIll;
     if (r.outcome == Outcome::kCancelled || r.outcome == Outcome::kNotSent) return;
     const bool answered = r.outcome == Outcome::kDelivered;
     const double aim = settings_.classes[p.request_class].aim;
@@ -610,4 +614,6 @@
 
 TenantView Balancer::tenant(double now, std::size_t tenant) const { return impl_->view(now, tenant); }
 
+MembersView Balancer::members(double now) const { return impl_->members(now); }
+
 }  // namespace quinceusher
--- a/src/members.h
+++ b/src/members.h
@@ -61,6 +61,22 @@
     for (ServerNode& s : slots_) s.told.state = ServerState::kGone;
   }
 
+  // Shunned servers are avoided only while others are well: where none is, all are sent to again.
+  template <class Shunned>
+  MembersView view(const Shunned& shunned) const {
+    MembersView out;
+    std::size_t ready = 0, ill = 0;
+    for (const ServerNode& s : slots_) {
+      if (s.told.state == ServerState::kGone) continue;
+      ++out.listed;
+      if (s.told.state != ServerState::kReady) continue;
+      ++ready;
+      if (shunned(s)) ++ill;
+    }
+    out.avoided = out.listed - ready + (ill < ready ? ill : 0);
+    return out;
+  }
+
   void forget_gone() {
     for (std::size_t slot = 0; slot < slots_.size(); ++slot) {
       ServerNode& s = slots_[slot];
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -97,6 +97,32 @@
   EXPECT_EQ(sent, 200);
 }
 
+TEST(Health, ItsViewNamesWhatItAvoids) {
+  Copy copy(basic_settings());
+  MembershipUpdate list = members(5);
+  list.servers[4].state = ServerState::kDraining;
+  copy.at(0, list);
+  EXPECT_EQ(copy.balancer.members(0).listed, 5U);
+  EXPECT_EQ(copy.balancer.members(0).avoided, 1U) << "the one that drains";
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = std::to_string(i);
+    copy.now += 0.02;
+    const std::vector<Send> sent = all<Send>(copy.request(id));
+    ASSERT_FALSE(sent.empty());
+    const std::vector<Send> again =
+        all<Send>(copy.end(id, sent[0].server == "s2" ? Outcome::kError : Outcome::kDelivered));
+    if (!again.empty()) copy.end(id, Outcome::kDelivered, 1);
+  }
+  EXPECT_EQ(copy.balancer.members(copy.now).avoided, 2U) << "and the one that fails";
+  EXPECT_EQ(copy.balancer.members(copy.now + 60).avoided, 1U) << "which is tried again some day";
+  MembershipUpdate gone;
+  gone.form = MembershipUpdate::Form::kChanges;
+  gone.servers = {server(4)};
+  gone.servers[0].state = ServerState::kGone;
+  copy.at(copy.now, gone);
+  EXPECT_EQ(copy.balancer.members(copy.now).listed, 4U);
+}
+
 TEST(Health, FurtherAttemptsHaveABudget) {
   Copy copy(basic_settings());
   copy.at(0, members(4));
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -19,6 +19,7 @@
 #include <stdexcept>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace nettlestand::testing {
 
@@ -158,7 +159,8 @@
 // The node, run on a configuration.
 class Program {
  public:
-  explicit Program(const std::string& config, rlim_t descriptors = 1024) {
+  explicit Program(const std::string& config, rlim_t descriptors = 1024,
+                   const std::vector<std::pair<std::string, std::string>>& environment = {}) {
     static int count = 0;
     path_ = ::testing::TempDir() + "/node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
     std::ofstream(path_) << config;
@@ -170,6 +172,7 @@
       const rlimit limit{descriptors, descriptors};
       setrlimit(RLIMIT_NOFILE, &limit);
       setenv("GW_CONFIG", path_.c_str(), 1);
+      for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
       execl(NODE, NODE, static_cast<char*>(nullptr));
       _exit(127);
     }
@@ -197,12 +200,8 @@
     }
     return text_;
   }
-  int port() {
-    static const std::string kWords = "listening on 127.0.0.1:";
-    const std::size_t at = (log("\n"), text_.find(kWords));
-    if (at == std::string::npos) throw std::runtime_error("the node does not listen: " + text_);
-    return std::stoi(text_.substr(at + kWords.size()));
-  }
+  int port() { return port_after("listening on 127.0.0.1:"); }
+  int operators_port() { return port_after("operators at 127.0.0.1:"); }
   void signal(int which) const { kill(child_, which); }
   // Replaces the configuration and has it read.
   void reload(const std::string& config) const {
@@ -221,6 +220,13 @@
   }
 
  private:
+  int port_after(const std::string& words) {
+    const std::size_t at = log(words).find(words);
+    if (at == std::string::npos) throw std::runtime_error("the node does not listen: " + text_);
+    log("\n");
+    return std::stoi(text_.substr(at + words.size()));
+  }
+
   std::string path_, text_;
   pid_t child_ = -1;
   int log_ = -1;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,112 +1,12 @@
 // The node as a program among scripted callers, servers and discovery.
-#include <array>
-#include <chrono>
-#include <memory>
 #include <sstream>
 #include <vector>
 
-#include "node_harness.h"
+#include "node_world.h"
 
 namespace nettlestand::testing {
 namespace {
 
-bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
-
-std::string with_length(const std::string& head, const std::string& body) {
-  return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string head(const std::string& request_class, const std::string& id = "r1") {
-  return "POST /api?x=1 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: " + id +
-         "\r\nRequest-Class: " + request_class + "\r\nTenant: acme\r\n" +
-         (request_class == "mark" ? "Idempotency-Key: k1\r\n" : "");
-}
-
-std::string request(const std::string& request_class, const std::string& more = "",
-                    const std::string& body = "question", const std::string& id = "r1") {
-  return with_length(head(request_class, id) + more, body);
-}
-
-std::string ok(const std::string& body = "answer") { return with_length("HTTP/1.1 200 OK\r\n", body); }
-
-std::string host(const std::string& name, int port, const std::string& health = "active", int born = 0) {
-  return R"({"host":")" + name + R"(","dial":"127.0.0.1:)" + std::to_string(port) +
-         R"(","site":"a","class":"m","block":0,"health":")" + health + R"(","share":1.0,"born_ms":)" +
-         std::to_string(born) + "}";
-}
-
-std::string list(int seq, bool whole, const std::string& hosts) {
-  return R"({"seq":)" + std::to_string(seq) + R"(,"whole":)" + (whole ? "true" : "false") + R"(,"hosts":[)" +
-         hosts + "]}\n";
-}
-
-std::string chunk(const std::string& text) {
-  std::ostringstream out;
-  out << std::hex << text.size() << "\r\n" << text << "\r\n";
-  return out.str();
-}
-
-const char* const kWatchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string repeated(const std::string& text, int times) {
-  std::string out;
-  for (int i = 0; i < times; ++i) out += text;
-  return out;
-}
-
-// A node past tier 0, so that each request is sent on, with what the tests need to script its surroundings.
-struct World {
-  Peer discovery;
-  std::array<Peer, 2> servers;
-  double connect_timeout = 0.25, idle_close = 5;
-  int sockets = 1024, memory_mb = 64;
-  std::string known;
-  std::unique_ptr<Program> node;
-  Wire watch;
-
-  std::string config() const {
-    std::ostringstream out;
-    out << R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" << discovery.port()
-        << R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" << sockets << R"(,"memory_mb":)" << memory_mb
-        << "}," << known
-        << R"("settings":{"position":0,"peersTotal":1,"stage":1,"registryMode":"subscribe","azs":["a"],)"
-        << R"("bounds":{"cancel":true,"maxAttempts":4,"retryAfter":true,"maxRetryAfter":2.0,"dialTimeout":)"
-        << connect_timeout << R"(,"idleClose":)" << idle_close << "},"
-        << R"("realms":[{"name":"acme","allowancePerS":1000}],"rules":{"askWithin":0.4},"categories":[)"
-        << R"({"name":"mark","aim":2,"giveUp":5,"lateWorth":0.5,"effect":"keyed",)"
-        << R"("group":"cell","dedupWindow":4},)"
-        << R"({"name":"close","aim":2,"giveUp":5,"lateWorth":0.5,"effect":"unsafe"}]}})";
-    return out.str();
-  }
-  void start() { node = std::make_unique<Program>(config()); }
-  std::string take_watch() {
-    watch = discovery.accept();
-    std::string asked = watch.message();
-    watch.send(kWatchHead);
-    return asked;
-  }
-  void tell(const std::string& line) { watch.send(chunk(line)); }
-  std::string both() const { return host("s0", servers[0].port()) + "," + host("s1", servers[1].port()); }
-  // Starts with the given servers, and waits until they have been taken over.
-  void serve(const std::string& hosts) {
-    start();
-    take_watch();
-    tell(list(7, true, hosts));
-    await_ready();
-  }
-  void await_ready() const {
-    until([&] { return has(health(), " 200 "); });
-  }
-  std::string health() const {
-    Wire caller = client();
-    caller.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
-    return caller.message();
-  }
-  Wire client() const { return Wire::to(node->port()); }
-  // The connection on which the next request comes, whichever server it goes to.
-  Wire next() const { return Peer::accept_either(servers[0], servers[1]); }
-};
-
 TEST(Node, PassesRequestsOnUnchangedAndKeepsConnections) {
   World w;
   w.serve(host("s0", w.servers[0].port()));
