Let a new process take the node over from the one that serves

Design: both bind the clients' address with SO_REUSEPORT; the new one listens only once it can serve, so until then every connection is the old one's. Processes of a node see each other by locks on the bytes of one file in $TMPDIR (node/siblings.*); locks die with their process, so nothing stale can be taken for one that lives. While there are two, each keeps to half of the descriptors, connections and bytes; the new one waits for the old to have done so. After SIGTERM the old one, seeing that another serves, takes what is queued, closes its listener at once and sends its clients away with their answers; what is idle stays open until 1.2 s before the end, as on any drain. No $TMPDIR, or a file there that can't be used: an ordinary start, with the address not shared. The cold-server allowance needs no message: each process spends a part of its own admitted rate, and the traffic is split. Rejected: passing the listening socket over a Unix socket.

--- a/node/budget.h
+++ b/node/budget.h
@@ -11,8 +11,10 @@
   explicit ByteBudget(std::size_t bytes) : bytes_(bytes) {}
   ByteBudget(const ByteBudget&) = delete;
   ByteBudget& operator=(const ByteBudget&) = delete;
-  std::size_t left() const { return bytes_ - used_; }
+  std::size_t left() const { return used_ < bytes_ ? bytes_ - used_ : 0; }
   std::size_t size() const { return bytes_; }
+  // What is held beyond the new size goes back as its holders end.
+  void resize(std::size_t bytes) { bytes_ = bytes; }
 
  private:
   friend class Claim;
--- a/node/engine.h
+++ b/node/engine.h
@@ -65,6 +65,7 @@
   // Whether requests can be served: there is a server to send to, and discovery has been heard or asked.
   bool ready() const { return asked_ && servers_known_; }
   std::size_t open() const { return open_; }
+  void set_most_upstream_sockets(std::size_t sockets) { upstream_.set_most(sockets); }
   // What the module makes of its list now.
   quinceusher::MembersView members() const { return balancer_.members(now()); }
 
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -290,7 +290,7 @@
   }
 
   void answer(Answer&& final, bool close) {
-    close_after_ = close || !keep_alive_ || listener_.finishing_;
+    close_after_ = close || !keep_alive_ || listener_.finishing_ || listener_.count_ > listener_.most_;
     status_ = final.status;
     release();
     head_ = head_of(final, close_after_);
@@ -366,7 +366,7 @@
 };
 
 Listener::Listener(asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
-                   Metrics& metrics, std::size_t most_connections)
+                   Metrics& metrics, std::size_t most_connections, bool shared_address)
     : io_(io),
       engine_(engine),
       budget_(budget),
@@ -378,17 +378,34 @@
       sweep_(io) {
   acceptor_.open(config.listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  if (shared_address) {
+    using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    error_code refused;  // then the address is this process's alone, as it would be anyway
+    acceptor_.set_option(reuse_port(true), refused);
+  }
   acceptor_.bind(config.listen);
-  acceptor_.listen(4096);
   acceptor_.non_blocking(true);
-  accept();
   sweep();
 }
 
+void Listener::listen() {
+  acceptor_.listen(4096);
+  listening_ = true;
+  accept();
+}
+
+void Listener::set_most(std::size_t connections) {
+  const bool room = connections > most_;
+  most_ = connections;
+  for (std::size_t over = count_ > most_ ? count_ - most_ : 0; over > 0 && make_room(); --over) {
+  }
+  if (room && full_) accept();
+}
+
 // Guards the limit on descriptors: a connection that does nothing makes room; where there is none, the rest
 // wait in the machine's queue until one ends.
 void Listener::accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
+  if (accepting_ || !listening_ || !acceptor_.is_open()) return;
   accepting_ = true;
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](const error_code& error) {
     accepting_ = false;
@@ -494,7 +511,7 @@
 }
 
 void Listener::stop_accepting() {
-  for (error_code error; !error;) {
+  for (error_code error; listening_ && !error;) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (!error) adopt(std::move(socket));
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -22,6 +22,7 @@
 #include "node/listener.h"
 #include "node/management.h"
 #include "node/metrics.h"
+#include "node/siblings.h"
 
 namespace {
 
@@ -29,7 +30,10 @@
 namespace ns = nettlestand;
 
 constexpr std::size_t kOtherSockets = 40;  // the event loop's, standard ones, discovery, operators, headroom
+constexpr std::size_t kLeastOther = 20;    // of these, where the node's processes share a small limit
 constexpr std::size_t kBodyPart = 3;       // of the memory, the part that bodies may take up: a third
+constexpr auto kSiblingsLook = std::chrono::milliseconds(100);
+constexpr double kShareWait = 1.5;  // s that a new process waits at most for the others to make room for it
 constexpr int kBadConfig = 2, kCannotStart = 1;
 
 // After SIGTERM, new connections still come for up to 0.4 s, and SIGKILL no sooner than the longest deadline
@@ -60,23 +64,40 @@
   return std::min(longest, kLongestDeadline);
 }
 
+// The part of the node's limits that one of its processes keeps to.
+struct Limits {
+  Limits(const ns::Config& config, std::size_t processes) : processes(processes) {
+    const std::size_t all = config.sockets / processes;
+    const std::size_t other = std::max(kLeastOther, std::min(kOtherSockets, all * 5 / 8));
+    const std::size_t sockets = all > other ? all - other : 1;
+    upstream = std::max<std::size_t>(sockets * 9 / 20, 1);
+    callers = std::max<std::size_t>(sockets * 11 / 20, 1);
+    operators = std::max<std::size_t>(ns::Management::kMostPeers / processes, 2);
+    body_bytes = config.memory_mb * 1024 * 1024 / kBodyPart / processes;
+  }
+  std::size_t processes, upstream, callers, operators, body_bytes;
+};
+
 class Node {
  public:
   explicit Node(const ns::Config& config)
       : io_(1),
-        sockets_(config.sockets - kOtherSockets),
+        config_(config),
+        siblings_(std::getenv("TMPDIR"), config.listen),
+        limits_(config, 1 + siblings_.others(ns::Siblings::Word::kAlive)),
         last_answers_(longest_deadline(config.settings) + kLastAnswers),
         alone_(config.settings.copy_count == 1),
         discovery_(io_, config,
                    {[this](const ns::ServerList& list) { engine_.list_came(list); },
                     [this] { engine_.watch_failed(); }}),
-        budget_(config.memory_mb * 1024 * 1024 / kBodyPart),
+        budget_(limits_.body_bytes),
         metrics_(config.classes),
-        engine_(io_, config, budget_, metrics_, sockets_ * 9 / 20, [this] { discovery_.watch(); }),
-        listener_(io_, config, engine_, budget_, metrics_, sockets_ * 11 / 20),
+        engine_(io_, config, budget_, metrics_, limits_.upstream, [this] { discovery_.watch(); }),
+        listener_(io_, config, engine_, budget_, metrics_, limits_.callers, siblings_.seen()),
         signals_(io_, SIGTERM, SIGINT),
         reload_(io_, SIGHUP),
-        look_(io_) {
+        look_(io_),
+        siblings_look_(io_) {
     if (!config.management) return;
     management_.emplace(
         io_, *config.management,
@@ -86,9 +107,9 @@
   }
 
   void run() {
-    ns::log_line("listening on " + listener_.address().address().to_string() + ":" +
-                 std::to_string(listener_.address().port()));
+    if (limits_.processes == 1) listen();
     engine_.start();
+    look_at_siblings();
     signals_.async_wait([this](const boost::system::error_code& error, int) {
       if (!error) drain();
     });
@@ -117,6 +138,48 @@
     });
   }
 
+  void listen() {
+    listener_.listen();
+    ns::log_line("listening on " + listener_.address().address().to_string() + ":" +
+                 std::to_string(listener_.address().port()));
+  }
+
+  // Guards the limits, which are the node's and not each process's, and the clients of a node that is
+  // replaced: until this process can serve, and the others have made room for it, all connections are for the
+  // others.
+  void look_at_siblings() {
+    using Word = ns::Siblings::Word;
+    if (!siblings_.seen()) return;
+    const std::size_t others = siblings_.others(Word::kAlive);
+    if (1 + others != limits_.processes) keep_to(Limits(config_, 1 + others));
+    siblings_.say(Word::kShares, others > 0);
+    const bool room = siblings_.others(Word::kShares) >= others || ns::now() - started_ >= kShareWait;
+    if (!listener_.listening() && !draining() && (others == 0 || (engine_.ready() && room))) {
+      try {
+        listen();
+      } catch (const std::exception& problem) {
+        std::fprintf(stderr, "nettlestand: %s\n", problem.what());
+        std::_Exit(kCannotStart);
+      }
+    }
+    siblings_.say(Word::kServes, listener_.ready());
+    siblings_look_.expires_after(kSiblingsLook);
+    siblings_look_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) look_at_siblings();
+    });
+  }
+
+  void keep_to(const Limits& limits) {
+    ns::log_line(limits.processes == 1 ? "alone again: all of the node's limits are this process's"
+                                       : "the node's limits are split between its processes: " +
+                                             std::to_string(limits.processes));
+    limits_ = limits;
+    budget_.resize(limits.body_bytes);
+    listener_.set_most(limits.callers);
+    engine_.set_most_upstream_sockets(limits.upstream);
+    if (management_) management_->set_most(limits.operators);
+  }
+
   std::string figures() const {
     const quinceusher::MembersView servers = engine_.members();
     return metrics_.text({listener_.pending(), servers.listed, servers.avoided});
@@ -126,21 +189,27 @@
     ns::log_line("draining");
     drain_began_ = ns::now();
     listener_.drain();
+    siblings_.say(ns::Siblings::Word::kServes, false);
     look();
   }
 
   void look() {
     const double since = ns::now() - drain_began_;
-    if (since >= kAcceptOn) {
+    // Another process of this node serves: new connections are for it, and clients are sent there as they get
+    // their answers. What is idle is left to them for now, since closing it might cross a request.
+    const bool replaced = siblings_.others(ns::Siblings::Word::kServes) > 0;
+    if (replaced) listener_.finish_answers();
+    if (replaced || since >= kAcceptOn) {
       if (accepting_) listener_.stop_accepting();
       accepting_ = false;
     }
     // Guards the clients of a node that restarts alone: where there is no other to go to, closing their
     // connections at the signal leaves them without service for seconds in which this node can still serve.
-    const double served = alone_ ? last_answers_ - kServeAlone : last_answers_ - kLastAnswers - kMoveOn;
+    const double served =
+        alone_ && !replaced ? last_answers_ - kServeAlone : last_answers_ - kLastAnswers - kMoveOn;
     if (since >= std::max(kAcceptOn, served)) listener_.finish();
     if (since >= last_answers_) engine_.expire_all();
-    if ((!accepting_ && since >= kAcceptOn + 0.1 && listener_.connections() == 0) ||
+    if ((!accepting_ && (replaced || since >= kAcceptOn + 0.1) && listener_.connections() == 0) ||
         since >= last_answers_ + kExit) {
       ns::log_line("drained");
       return io_.stop();
@@ -151,8 +220,13 @@
     });
   }
 
+  bool draining() const { return drain_began_ > 0; }
+
   asio::io_context io_;
-  const std::size_t sockets_;
+  const ns::Config& config_;
+  ns::Siblings siblings_;
+  Limits limits_;
+  const double started_ = ns::now();
   const double last_answers_;
   const bool alone_;  // the only node before its tier
   ns::Discovery discovery_;
@@ -162,7 +236,7 @@
   ns::Listener listener_;
   std::optional<ns::Management> management_;
   asio::signal_set signals_, reload_;
-  asio::steady_timer look_;
+  asio::steady_timer look_, siblings_look_;
   double drain_began_ = 0;
   bool accepting_ = true;
 };
--- a/node/management.cpp
+++ b/node/management.cpp
@@ -180,7 +180,7 @@
           if (!stopped) accept();
         });
       }
-      if (peers_.size() >= kMostPeers) make_room();
+      while (peers_.size() >= most_) make_room();
       try {
         const auto peer = std::make_shared<Peer>(*this, std::move(socket));
         peer->start(peers_.insert(peers_.end(), peer));
--- a/node/management.h
+++ b/node/management.h
@@ -24,6 +24,7 @@
   // Throws boost::system::system_error when the address can't be listened on.
   Management(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Calls calls);
 
+  void set_most(std::size_t peers) { most_ = peers; }
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
  private:
@@ -36,6 +37,7 @@
 
   boost::asio::io_context& io_;
   const Calls calls_;
+  std::size_t most_ = kMostPeers;
   Order peers_;  // the oldest first
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, sweep_;
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -366,18 +366,24 @@
 
 // Guards the limit on sockets: the longest idle connection makes room for one that is needed.
 bool Upstream::make_room() {
-  if (open_ < most_sockets_) return true;
-  if (parked_.empty()) return false;
-  const std::shared_ptr<Connection> oldest = parked_.front();
-  unpark(oldest);
-  oldest->close();
-  return true;
+  while (open_ >= most_sockets_ && !parked_.empty()) {
+    const std::shared_ptr<Connection> oldest = parked_.front();
+    unpark(oldest);
+    oldest->close();
+  }
+  return open_ < most_sockets_;
+}
+
+void Upstream::set_most(std::size_t sockets) {
+  most_sockets_ = sockets;
+  make_room();
 }
 
 void Upstream::park(const std::shared_ptr<Connection>& connection) {
   Server* known = find(connection->server);
   // Guards against a connection that leads to the process before: it was busy while another took its place.
   if (known == nullptr || known->generation != connection->generation) return connection->close();
+  if (open_ > most_sockets_) return connection->close();
   connection->state = Connection::State::kParked;
   connection->parked_at = now();
   connection->place = parked_.insert(parked_.end(), connection);
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -57,6 +57,9 @@
   // attempts that still wait for a connection to one, or to where one was before, to be stopped as not sent.
   std::vector<Handle> apply(const ServerList& list);
 
+  // The limit on connections; what is idle beyond it is closed.
+  void set_most(std::size_t sockets);
+
   std::size_t servers() const { return servers_.size(); }  // that may be sent to
 
  private:
@@ -81,7 +84,7 @@
   ByteBudget& budget_;
   Metrics& metrics_;
   const double connect_timeout_, keep_idle_;
-  const std::size_t most_sockets_;
+  std::size_t most_sockets_;
   std::size_t open_ = 0;
   double wary_until_ = 0;  // kept connections have broken under their next request lately
   std::uint64_t serial_ = 0, generation_ = 0;
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -203,6 +203,8 @@
   int port() { return port_after("listening on 127.0.0.1:"); }
   int operators_port() { return port_after("operators at 127.0.0.1:"); }
   void signal(int which) const { kill(child_, which); }
+  // Where the system lists what it holds open.
+  std::string descriptors() const { return "/proc/" + std::to_string(child_) + "/fd"; }
   // Replaces the configuration and has it read.
   void reload(const std::string& config) const {
     std::ofstream(path_) << config;
--- a/tests/node_world.h
+++ b/tests/node_world.h
@@ -62,16 +62,16 @@
   Peer discovery;
   std::array<Peer, 2> servers;
   double connect_timeout = 0.25, idle_close = 5;
-  int sockets = 1024, memory_mb = 64;
+  int sockets = 1024, memory_mb = 64, port = 0;
   std::string known, more;  // further fields of the configuration
   std::unique_ptr<Program> node;
   Wire watch;
 
   std::string config() const {
     std::ostringstream out;
-    out << R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" << discovery.port()
-        << R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" << sockets << R"(,"memory_mb":)" << memory_mb
-        << "}," << known << more
+    out << R"({"name":"n1","listen":"127.0.0.1:)" << port << R"(","discovery":"127.0.0.1:)"
+        << discovery.port() << R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" << sockets
+        << R"(,"memory_mb":)" << memory_mb << "}," << known << more
         << R"("settings":{"position":0,"peersTotal":1,"stage":1,"registryMode":"subscribe","azs":["a"],)"
         << R"("bounds":{"cancel":true,"maxAttempts":4,"retryAfter":true,"maxRetryAfter":2.0,"dialTimeout":)"
         << connect_timeout << R"(,"idleClose":)" << idle_close << "},"
--- /dev/null
+++ b/tests/replacement_test.cpp
@@ -0,0 +1,245 @@
+// A node's process started beside the one that serves, and what becomes of both.
+#include <sys/stat.h>
+
+#include <filesystem>
+#include <vector>
+
+#include "node_world.h"
+
+namespace nettlestand::testing {
+namespace {
+
+using Environment = std::vector<std::pair<std::string, std::string>>;
+
+// Keeps a port from all but a node's processes: bound, shared and never listening.
+class Reserved {
+ public:
+  Reserved() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int yes = 1;
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    if (setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes) != 0 ||
+        setsockopt(fd_, SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes) != 0 ||
+        bind(fd_, reinterpret_cast<sockaddr*>(&at), size) != 0 ||
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
+      throw std::runtime_error("no port");
+    }
+    port = ntohs(at.sin_port);
+  }
+  Reserved(const Reserved&) = delete;
+  Reserved& operator=(const Reserved&) = delete;
+  ~Reserved() { close(fd_); }
+  int port = 0;
+
+ private:
+  int fd_;
+};
+
+// A node that may have several processes, all at one address and with one folder.
+struct Address : World {
+  Address() {
+    folder = ::testing::TempDir() + "/replace_" + std::to_string(getpid()) + "_" + std::to_string(count++);
+    std::filesystem::create_directory(folder);
+    port = reserved.port;
+    more = R"("management":"127.0.0.1:0",)";
+  }
+  ~Address() { std::filesystem::remove_all(folder); }
+  Environment environment() const { return {{"TMPDIR", folder}}; }
+
+  // A further process, with its watch; it has no list yet.
+  std::unique_ptr<Program> begin() {
+    auto out = std::make_unique<Program>(config(), 1024, environment());
+    watch = discovery.accept();
+    watch.message();
+    watch.send(kWatchHead);
+    return out;
+  }
+  std::unique_ptr<Program> serving(Wire& its_watch) {
+    auto out = begin();
+    tell(list(7, true, host("s0", servers[0].port())));
+    until([&] { return ready(*out); });
+    its_watch = std::move(watch);
+    return out;
+  }
+  static bool ready(Program& program) {
+    Wire caller = Wire::to(program.operators_port());
+    caller.send("GET /ready HTTP/1.1\r\n\r\n");
+    return has(caller.message(), " 200 ");
+  }
+  // A request on a new connection, and its answer. Empty where it is turned back unheard.
+  std::string ask(const std::string& id) {
+    Wire caller = Wire::to(port);
+    caller.send(request("close", "", "question", id));
+    answer_next(id);
+    return caller.message();
+  }
+  // The server's part: on whichever connection the request comes.
+  void answer_next(const std::string& id) {
+    until([&] {
+      if (!servers[0].quiet()) held.push_back(servers[0].accept());
+      for (Wire& server : held) {
+        if (server.quiet() || !has(server.message(), "Request-Id: " + id)) continue;
+        server.send(ok());
+        return true;
+      }
+      return false;
+    });
+  }
+
+  Reserved reserved;
+  std::string folder;
+  std::vector<Wire> held;
+  static inline int count = 0;
+};
+
+TEST(Replacement, TakesOverWithoutTurningAnybodyBack) {
+  Address at;
+  Wire old_watch, new_watch;
+  const auto old = at.serving(old_watch);
+  Wire kept = Wire::to(at.port), idle = Wire::to(at.port);
+  for (Wire* caller : {&kept, &idle}) {
+    caller->send("GET /healthz HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(has(caller->message(), " 200 "));
+  }
+
+  const auto next = at.begin();
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(has(at.ask("a" + std::to_string(i)), " 200 ")) << "only the old one can serve yet";
+  }
+  EXPECT_FALSE(at.ready(*next));
+  at.tell(list(7, true, host("s0", at.servers[0].port())));
+  until([&] { return at.ready(*next); });
+  new_watch = std::move(at.watch);
+  EXPECT_TRUE(has(old->log("split"), "split between its processes: 2"));
+  for (int i = 0; i < 30; ++i) {
+    if (i == 15) old->signal(SIGTERM);
+    EXPECT_TRUE(has(at.ask("b" + std::to_string(i)), " 200 "));
+  }
+
+  // The old one's clients are sent to the new one as they get their answers, and not before.
+  old->log("draining");
+  kept.send(request("close", "", "question", "k"));
+  at.answer_next("k");
+  const std::string last = kept.message();
+  EXPECT_TRUE(has(last, " 200 ")) << last;
+  EXPECT_TRUE(has(last, "Connection: close\r\n")) << last;
+  EXPECT_TRUE(kept.ended());
+  EXPECT_TRUE(idle.quiet()) << "what is idle may be about to ask";
+  EXPECT_TRUE(idle.ended()) << "and is closed in the end";
+  EXPECT_EQ(old->exit_code(), 0);
+  EXPECT_TRUE(has(next->log("alone"), "alone again"));
+  EXPECT_TRUE(has(at.ask("c"), " 200 "));
+}
+
+TEST(Replacement, TheOldOneServesOnWhereTheNextDies) {
+  Address at;
+  Wire old_watch;
+  const auto old = at.serving(old_watch);
+  {
+    const auto next = at.begin();
+    old->log("split");
+    EXPECT_TRUE(has(at.ask("a"), " 200 "));
+    next->signal(SIGKILL);
+    next->exit_code();
+  }
+  EXPECT_TRUE(has(old->log("alone"), "alone again"));
+  EXPECT_TRUE(has(at.ask("b"), " 200 "));
+  Program broken("{", 1024, at.environment());
+  EXPECT_EQ(broken.exit_code(), 2);
+  EXPECT_TRUE(has(at.ask("c"), " 200 "));
+}
+
+TEST(Replacement, OneAfterAnother) {
+  Address at;
+  std::vector<std::unique_ptr<Program>> processes;
+  std::vector<Wire> watches(4);
+  processes.push_back(at.serving(watches[0]));
+  for (std::size_t i = 1; i < watches.size(); ++i) {
+    processes.push_back(at.serving(watches[i]));
+    processes[i - 1]->signal(i == 2 ? SIGKILL : SIGTERM);  // the second is killed outright
+    EXPECT_EQ(processes[i - 1]->exit_code(), i == 2 ? -SIGKILL : 0);
+    EXPECT_TRUE(has(at.ask("r" + std::to_string(i)), " 200 "));
+  }
+}
+
+TEST(Replacement, BothObeyTheListAndSighup) {
+  Address at;
+  Wire old_watch, new_watch;
+  const auto old = at.serving(old_watch);
+  const auto next = at.serving(new_watch);
+  for (Wire* watch : {&old_watch, &new_watch}) {
+    watch->send(chunk(list(8, true, host("s0", at.servers[0].port(), "leaving"))));
+  }
+  for (Program* program : {old.get(), next.get()}) {
+    until([&] {
+      Wire caller = Wire::to(program->operators_port());
+      caller.send("GET /metrics HTTP/1.1\r\n\r\n");
+      return has(caller.message(), "app.members_unavailable:1|g");
+    });
+    program->reload_without_file();
+    program->log("the configuration stays as it was");
+    EXPECT_TRUE(has(program->log("\n"), "the configuration stays as it was"));
+  }
+  Wire caller = Wire::to(at.port);
+  caller.send(request("close"));
+  EXPECT_TRUE(has(caller.message(), " 503 "));
+  EXPECT_TRUE(at.servers[0].quiet());
+}
+
+// What stands in the folder must not keep a process from its start; and without a folder that can be used, a
+// second process has no part in the address.
+TEST(Replacement, LeftoversAndOddFoldersAreAnOrdinaryStart) {
+  for (const std::string kind : {"stale", "directory", "link", "pipe", "no folder", "none"}) {
+    Address at;
+    const std::string file = at.folder + "/nettlestand-127.0.0.1-" + std::to_string(at.port) + ".lock";
+    Environment environment = at.environment();
+    if (kind == "stale") std::ofstream(file) << "12345\nwhatever";
+    if (kind == "directory") std::filesystem::create_directory(file);
+    if (kind == "link") std::filesystem::create_symlink("/nowhere/at/all", file);
+    if (kind == "pipe") mkfifo(file.c_str(), 0600);
+    if (kind == "no folder") environment = {{"TMPDIR", at.folder + "/missing"}};
+    if (kind == "none") environment = {{"TMPDIR", ""}};
+    Program first(at.config(), 1024, environment);
+    first.port();
+    at.watch = at.discovery.accept();
+    at.watch.message();
+    at.watch.send(kWatchHead);
+    at.tell(list(7, true, host("s0", at.servers[0].port())));
+    until([&] { return at.ready(first); });
+    EXPECT_TRUE(has(at.ask("a"), " 200 ")) << kind;
+    if (kind == "stale") continue;
+    Program second(at.config(), 1024, environment);
+    EXPECT_EQ(second.exit_code(), 1) << kind;
+  }
+}
+
+TEST(Replacement, BothTogetherKeepToTheLimitOnConnections) {
+  Address at;
+  at.sockets = 128;
+  Wire old_watch, new_watch;
+  const auto old = at.serving(old_watch);
+  std::vector<Wire> crowd;
+  for (int i = 0; i < 48; ++i) {  // as many as one process takes
+    crowd.push_back(Wire::to(at.port));
+    crowd.back().send("GET /healthz HTTP/1.1\r\n\r\n");
+    crowd.back().message();
+  }
+  const auto next = at.serving(new_watch);
+  for (int i = 0; i < 100; ++i) {
+    crowd.push_back(Wire::to(at.port));
+    crowd.back().send("GET /healthz HTTP/1.1\r\n\r\n");
+    crowd.back().message();
+  }
+  std::size_t held = 0;
+  for (const Program* program : {old.get(), next.get()}) {
+    for ([[maybe_unused]] const auto& entry : std::filesystem::directory_iterator(program->descriptors()))
+      ++held;
+  }
+  EXPECT_LE(held, 128U);
+  EXPECT_TRUE(has(at.ask("a"), " 200 "));
+}
+
+}  // namespace
+}  // namespace nettlestand::testing
