--- a/include/quinceusher/balancer.h
+++ b/include/quinceusher/balancer.h
@@ -76,6 +76,7 @@
   double time_left = 0;        // until the client gives up
   std::optional<double> work;  // announced work, seconds on a standard core
   bool is_repeat = false;      // the client marked it as a further try of its own
+  bool arriving = false;       // its body is still coming: AttemptOut tells when a server has got it
 };
 
 enum class Outcome {
@@ -97,6 +98,18 @@
   double elapsed = 0;
 };
 
+// The last byte of a request that was arriving has gone out on an attempt: its server can begin, and the
+// client's time counts from here.
+struct AttemptOut {
+  std::string id;
+  int attempt = 0;
+};
+
+// A part of the request's body has gone out on an attempt and is kept nowhere: it can't be sent again.
+struct BodyGone {
+  std::string id;
+};
+
 // An attempt has ended. Each Send gets exactly one.
 struct AttemptResult {
   std::string id;
@@ -139,8 +152,8 @@
 // The copy starts: the first event, so that it can ask for what it needs.
 struct Started {};
 
-using Event =
-    std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate, TimerFired>;
+using Event = std::variant<Started, Request, AnswerStarted, AttemptOut, BodyGone, AttemptResult, RequestGone,
+                           MembershipUpdate, TimerFired>;
 
 // ---------------------------------------------------------------- actions
 
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -83,18 +83,32 @@
   const std::string id = std::to_string(number);
   const double limit = call.came_at + call.timeout;
   call.facts.id = id;
+  call.facts.arriving = call.forward->rest != nullptr;
   call.facts.time_left = limit - reserve(call) - now();
   client_ids_.insert(call.client_id);
   auto& live = live_[id] = std::make_unique<Live>(io_, std::move(call), std::move(reply));
   ++open_;
-  live->deadline.expires_at(at(limit - reserve(live->call) * kAnswerReserve));
-  live->deadline.async_wait([this, id](const error_code& error) {
-    if (!error) expire(id);
-  });
+  if (!live->call.forward->rest) set_deadline(id, *live);
   post(live->call.facts);
   return number;
 }
 
+void Engine::set_deadline(const std::string& id, Live& live) {
+  const double limit = live.call.came_at + live.call.timeout;
+  live.deadline.expires_at(at(limit - reserve(live.call) * kAnswerReserve));
+  live.deadline.async_wait([this, id](const error_code& error) {
+    if (!error) expire(id);
+  });
+}
+
+void Engine::body_came(std::uint64_t request) {
+  const std::string id = std::to_string(request);
+  Live* live = find(id);
+  if (live == nullptr || !live->reply) return;
+  live->call.came_at = now();
+  set_deadline(id, *live);
+}
+
 void Engine::gone(std::uint64_t request) {
   const std::string id = std::to_string(request);
   Live* live = find(id);
@@ -103,6 +117,12 @@
   --open_;
   live->deadline.cancel();
   post(qu::RequestGone{id});
+  // Without its client, a body that is still coming has no end: what waits for it is over, whatever is
+  // allowed.
+  if ((live = find(id)) != nullptr && live->call.forward->rest) {
+    const std::vector<Try> tries = live->tries;
+    for (const Try& attempt : tries) upstream_.stop(attempt.handle, qu::Outcome::kCancelled);
+  }
   forget_if_done(id);
 }
 
@@ -112,12 +132,12 @@
   if (live == nullptr || !live->reply) return;
   const bool may_have_run = std::any_of(live->tries.begin(), live->tries.end(),
                                         [](const Try& attempt) { return attempt.may_have_run; });
-  answer(*live, may_have_run ? Answer{504, 0, {}, {}, {}} : refusal());
+  answer(*live, may_have_run ? Answer{504, 0, {}, {}, {}, {}, {}} : refusal());
   post(qu::RequestGone{id});
   forget_if_done(id);
 }
 
-Answer Engine::refusal() const { return {503, config_.settings.max_retry_after / 2, {}, {}, {}}; }
+Answer Engine::refusal() const { return {503, config_.settings.max_retry_after / 2, {}, {}, {}, {}, {}}; }
 
 void Engine::expire_all() {
   std::vector<std::string> ids;
@@ -181,9 +201,18 @@
   done.open = false;
   done.may_have_run = !never_ran(end.outcome);
   if (end.outcome == qu::Outcome::kDelivered) {
-    answer(*live, {200, 0, std::move(end.body), std::move(end.content_type), std::move(end.claim)});
+    answer(*live, {200, 0, std::move(end.body), std::move(end.content_type), std::move(end.claim), {}, {}});
   }
-  post(qu::AttemptResult{id, attempt, end.outcome, now() - done.sent_at, !live->reply});
+  const double asked_at = std::max(done.sent_at, end.asked_at);
+  post(qu::AttemptResult{id, attempt, end.outcome, now() - asked_at, !live->reply});
+}
+
+void Engine::begins(const std::string& id, int attempt, AnswerBegins&& begun) {
+  Live* live = find(id);
+  if (live == nullptr || !live->reply) return begun.body->drop();
+  const double asked_at = std::max(live->tries[static_cast<std::size_t>(attempt)].sent_at, begun.asked_at);
+  answer(*live, {200, 0, {}, std::move(begun.content_type), {}, std::move(begun.body), begun.length});
+  post(qu::AnswerStarted{id, attempt, now() - asked_at});
 }
 
 void Engine::run(const qu::Send& action) {
@@ -192,24 +221,35 @@
   const int attempt = static_cast<int>(live->tries.size());
   live->tries.push_back({{}, now(), true, true});
   // Guards the one final answer: nothing is sent for a request that has it.
-  if (!live->reply) return ended(action.id, attempt, {qu::Outcome::kNotSent, {}, {}, {}});
+  // And what is no longer here whole can't go out a second time, nor on two ways at once.
+  const std::shared_ptr<Forward>& forward = live->call.forward;
+  const bool on_its_way =
+      std::any_of(live->tries.begin(), live->tries.end() - 1, [](const Try& t) { return t.open; });
+  if (!live->reply || forward->rest_begun || (forward->rest && on_its_way)) {
+    return ended(action.id, attempt, {qu::Outcome::kNotSent, {}, {}, {}, 0});
+  }
   Upstream::Handle handle = upstream_.start(
-      action.server, live->call.forward, action.timeout,
-      [this, id = action.id, attempt](AttemptEnd&& end) { ended(id, attempt, std::move(end)); });
+      action.server, forward, action.timeout,
+      {[this, id = action.id, attempt](AttemptEnd&& end) { ended(id, attempt, std::move(end)); },
+       [this, id = action.id, attempt](AnswerBegins&& begun) { begins(id, attempt, std::move(begun)); },
+       [this, id = action.id] { post(qu::BodyGone{id}); },
+       [this, id = action.id, attempt] {
+         post(qu::AttemptOut{id, attempt});
+       }});
   live->tries[static_cast<std::size_t>(attempt)].handle = std::move(handle);
 }
 
 void Engine::run(const qu::Refuse& action) {
   Live* live = find(action.id);
   if (live == nullptr) return;
-  answer(*live, {503, action.retry_after, {}, {}, {}});
+  answer(*live, {503, action.retry_after, {}, {}, {}, {}, {}});
   forget_if_done(action.id);
 }
 
 void Engine::run(const qu::Fail& action) {
   Live* live = find(action.id);
   if (live == nullptr) return;
-  answer(*live, {502, 0, {}, {}, {}});
+  answer(*live, {502, 0, {}, {}, {}, {}, {}});
   forget_if_done(action.id);
 }
 
--- a/node/engine.h
+++ b/node/engine.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -24,7 +25,7 @@
   std::shared_ptr<Forward> forward;
   std::string client_id;
   double came_at = 0;  // on the steady clock
-  double timeout = 0;  // s, from when the client sent it
+  double timeout = 0;  // s, from when the client sent it: its last byte
 };
 
 // The final answer.
@@ -32,7 +33,9 @@
   unsigned status = 500;
   double retry_after = 0;  // s; 0: no advice
   std::string body, content_type;
-  Claim claim;  // on the bytes of the body
+  Claim claim;                          // on the bytes of the body
+  std::shared_ptr<Stream> rest;         // of an answer that passes as it comes: all of its body
+  std::optional<std::uint64_t> length;  // of that, where it is known
 };
 
 class Engine {
@@ -45,7 +48,9 @@
   void start();
 
   // Takes a request. `reply` is called exactly once, perhaps before this returns, unless `gone` comes first.
+  // Where its body's rest is still coming, its time counts from `body_came`.
   std::uint64_t submit(Call call, Reply reply);
+  void body_came(std::uint64_t request);
 
   // Whether a request with this client's id is open, or has attempts out.
   bool knows(const std::string& client_id) const { return client_ids_.contains(client_id); }
@@ -95,6 +100,8 @@
   void run(const quinceusher::LogLine& action);
   Live* find(const std::string& id);
   void ended(const std::string& id, int attempt, AttemptEnd&& end);
+  void begins(const std::string& id, int attempt, AnswerBegins&& answer);
+  void set_deadline(const std::string& id, Live& live);
   void expire(const std::string& id);
   bool answer(Live& live, Answer&& answer);
   void forget_if_done(const std::string& id);
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdio>
@@ -19,24 +20,31 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kBodyLimit = 64 * 1024;     // bytes
-constexpr std::size_t kHeadLimit = 8 * 1024;      // bytes, of a request's head and of a chunk's
-constexpr std::size_t kEarlyLimit = 8 * 1024;     // bytes kept of a next request while one is being answered
-constexpr std::size_t kEndingLimit = 256 * 1024;  // bytes thrown away after the last answer
-constexpr double kIdleLimit = 20;                 // s without a request
-constexpr double kReadLimit = 2.2;   // s for a request, from the connection's start if it is its first
-constexpr double kWriteLimit = 5;    // s for a client to take its answer
-constexpr double kEndingLimitS = 1;  // s for a client to close after its last answer
-constexpr double kYoung = 0.25;      // s in which a new connection or a request being read is not evicted
-constexpr int kEvictionLooks = 16;   // connections looked at to find one that can go
+constexpr std::size_t kHeadLimit = 8 * 1024;   // bytes, of a request's head and of a chunk's
+constexpr std::size_t kEarlyLimit = 8 * 1024;  // bytes kept of a next request while one is being answered
+constexpr double kIdleLimit = 20;              // s without a request
+// Clients may take 2 s for a head and send a body at 64 kB/s. Whoever sends nothing of use has 3 s in all.
+constexpr double kReadLimit = 2.6;            // s for a head, from the connection's start if it is its first
+constexpr double kBodyGrace = 0.7;            // s after the head, and then
+constexpr double kLeastRate = 40e3;           // bytes/s of a body, on the whole
+constexpr double kWriteLimit = 5;             // s for a client to take any byte of its answer
+constexpr double kEndingLimitS = 1;           // s for a client to close after its last answer
+constexpr int kStreamSendBuffer = 64 * 1024;  // bytes; what the system holds of an answer that passes
+constexpr double kYoung = 0.25;     // s in which a new connection or a request being read is not evicted
+constexpr int kEvictionLooks = 16;  // connections looked at to find one that can go
 constexpr auto kSweepPeriod = std::chrono::milliseconds(200);
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after a failed accept: never a busy loop
 
-std::string head_of(const Answer& answer, bool close) {
+std::string head_of(const Answer& answer, bool close, bool chunked) {
   std::string out = "HTTP/1.1 " + std::to_string(answer.status) + " ";
   const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
   out.append(reason.data(), reason.size());
-  out += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n";
+  out += "\r\n";
+  if (chunked) {
+    out += "Transfer-Encoding: chunked\r\n";
+  } else if (!answer.rest || answer.length) {
+    out += "Content-Length: " + std::to_string(answer.rest ? *answer.length : answer.body.size()) + "\r\n";
+  }
   if (!answer.content_type.empty()) out += "Content-Type: " + answer.content_type + "\r\n";
   if (answer.retry_after > 0) {
     std::array<char, 32> seconds{};
@@ -75,23 +83,30 @@
 
   // Ends it with an error where it has sent a part of a request and has had its time.
   bool close_if_slow(double limit) {
-    if (now() - (used_ ? since_ : connected_at_) < limit) return false;
+    if (now() - (used_ ? began_at_ : connected_at_) < limit || !behind()) return false;
     static constexpr std::string_view kSlow =
         "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     error_code ignored;
-    if (state_ == State::kReading) socket_.write_some(asio::buffer(kSlow.data(), kSlow.size()), ignored);
+    if (state_ != State::kFresh) socket_.write_some(asio::buffer(kSlow.data(), kSlow.size()), ignored);
     close();
     return true;
   }
 
+  // Ends it where its client has taken no byte for so long. That there are none to take is not its doing.
+  void close_if_stuck(double limit) {
+    if (moving_ && now() - since_ > limit) close();
+  }
+
   void close() {
     if (state_ == State::kClosed) return;
-    const bool waiting = state_ == State::kWaiting;
+    const bool waiting = state_ == State::kWaiting || state_ == State::kUploading;
     enter(State::kClosed);
     error_code ignored;
     socket_.close(ignored);
     release();
     if (taken_) count(0);  // whoever has gone had no whole answer
+    if (rest_) rest_->drop();
+    rest_.reset();
     if (waiting) listener_.engine_.gone(request_);
     listener_.closed();
   }
@@ -99,7 +114,7 @@
   double since() const { return since_; }
 
  private:
-  enum class State { kNew, kFresh, kIdle, kReading, kWaiting, kWriting, kEnding, kClosed };
+  enum class State { kNew, kFresh, kIdle, kReading, kUploading, kWaiting, kWriting, kEnding, kClosed };
 
   Order* order_of(State state) {
     switch (state) {
@@ -109,6 +124,8 @@
         return &listener_.idle_;
       case State::kReading:
         return &listener_.reading_;
+      case State::kUploading:
+        return &listener_.uploading_;
       case State::kWriting:
         return &listener_.writing_;
       case State::kEnding:
@@ -117,7 +134,17 @@
         return nullptr;
     }
   }
-  static bool busy(State state) { return state == State::kWaiting || state == State::kWriting; }
+  static bool busy(State state) {
+    return state == State::kUploading || state == State::kWaiting || state == State::kWriting;
+  }
+
+  // Whether what has come of a request is too little for its time. While it is the server that takes no
+  // bytes, the client's time stands still.
+  bool behind() const {
+    if (head_at_ == 0) return true;
+    if (upload_ && upload_->full()) return false;
+    return now() - head_at_ - paused_ > kBodyGrace + static_cast<double>(body_bytes_) / kLeastRate;
+  }
 
   void enter(State state) {
     const auto self = weak_from_this().lock();  // its place may be what keeps it
@@ -158,30 +185,35 @@
   }
 
   void read() {
-    if (busy(state_) && in_.size() >= kEarlyLimit) return;
+    const bool early = busy(state_) && state_ != State::kUploading;
+    if (early && in_.size() >= kEarlyLimit) return;
     error_code error;
     const std::size_t got = socket_.read_some(asio::buffer(listener_.scratch_), error);
     if (error == asio::error::would_block) return wait_readable();
     if (error) return close();
     if (state_ == State::kEnding) {
-      if ((thrown_away_ += got) > kEndingLimit) return close();
+      if ((thrown_away_ += got) > kLargestBody) return close();
       return wait_readable();
     }
     in_.append(listener_.scratch_.data(), got);
-    if (busy(state_)) return wait_readable();  // the next request's bytes are kept
-    if (state_ != State::kReading) {
-      came_at_ = now();
-      enter(State::kReading);
-    }
+    if (early) return wait_readable();  // the next request's bytes are kept
+    if (state_ != State::kReading && state_ != State::kUploading) begin_request();
     parse();
   }
 
+  void begin_request() {
+    began_at_ = now();
+    head_at_ = paused_ = 0;
+    body_bytes_ = 0;
+    enter(State::kReading);
+  }
+
   // Not eager: an eager parser of Beast 1.74 goes on after a head whose body is over the limit, and takes the
   // body for more of the head.
   void parse() {
     if (!parser_) {
       parser_.emplace();
-      parser_->body_limit(kBodyLimit);
+      parser_->body_limit(kLargestBody);
       head_bytes_ = 0;
     }
     error_code error;
@@ -202,20 +234,54 @@
         return turn_away(error == http::error::body_limit ? 413 : long_head ? 431 : 400);
       }
       if (in_head && parser_->is_header_done() && !head_came()) return;
-      if (!in_head && !claim_.grow_to(parser_->get().body().size(), listener_.budget_.size() / 2)) {
-        return turn_away(503);
-      }
+      if (!in_head && !body_came()) return;
       if (used == 0) break;
     }
     in_.erase(0, from);
-    if (parser_->is_done()) return take();
+    if (parser_->is_done()) return state_ == State::kUploading ? uploaded() : take();
     if (in_.size() > kHeadLimit) return turn_away(431);
+    if (!upload_ || !upload_->full()) return wait_readable();  // else once there is room
+    paused_at_ = now();
+  }
+
+  // Bytes of a body, which is kept whole as long as it is small. Whether the request goes on.
+  bool body_came() {
+    std::string& body = parser_->get().body();
+    if (state_ == State::kUploading) {
+      body_bytes_ += body.size();
+      upload_->give(body);
+      body.clear();
+      return true;
+    }
+    body_bytes_ = body.size();
+    if (!claim_.grow_to(std::min(body.size(), kWholeBody), listener_.budget_.size() / 2))
+      return turn_away(503), false;
+    if (body.size() < kWholeBody || parser_->is_done() || !call_) return true;
+    upload_ = std::make_shared<Stream>(listener_.io_, listener_.budget_);
+    upload_->on_room([self = weak_from_this()] {
+      const auto to = self.lock();
+      if (!to || to->state_ != State::kUploading) return;
+      if (to->paused_at_ > 0) to->paused_ += now() - std::exchange(to->paused_at_, 0);
+      to->wait_readable();
+    });
+    return submit(State::kUploading);
+  }
+
+  // The last byte of a body that passes has come.
+  void uploaded() {
+    upload_->end(true);
+    upload_.reset();
+    parser_.reset();
+    enter(State::kWaiting);
+    listener_.engine_.body_came(request_);
     wait_readable();
   }
 
   // Looks at a request as soon as its head is there: what can't be used is turned away without its body.
   bool head_came() {
     const Intake::Head& head = parser_->get().base();
+    head_at_ = now();
+    chunks_ = head.version() >= 11;
     keep_alive_ = parser_->get().keep_alive();
     claim_ = Claim(listener_.budget_);
     try {
@@ -227,7 +293,8 @@
         if (listener_.engine_.knows(call_->client_id)) throw BadRequest{409, "this Request-Id is open"};
       }
       // Guards the memory limit: answers need room too, so requests leave half of the budget to them.
-      if (!claim_.grow_to(parser_->content_length().value_or(0), listener_.budget_.size() / 2)) {
+      const std::uint64_t length = std::min<std::uint64_t>(parser_->content_length().value_or(0), kWholeBody);
+      if (!claim_.grow_to(length, listener_.budget_.size() / 2)) {
         throw BadRequest{503, "no memory to spare"};
       }
     } catch (const BadRequest& bad) {
@@ -243,8 +310,9 @@
   }
 
   void turn_away(unsigned status, const char* what = nullptr) {
-    Answer out{status, 0, {}, {}, {}};
+    Answer out{status, 0, {}, {}, {}, {}, {}};
     if (status == 503) out = listener_.engine_.refusal();
+    if (state_ == State::kUploading) listener_.engine_.gone(request_);
     if (what != nullptr) {
       out.body = std::string(what) + "\n";
       out.content_type = "text/plain";
@@ -253,58 +321,123 @@
   }
 
   void take() {
-    http::request<http::string_body> request = parser_->release();
-    parser_.reset();
-    const std::string_view path = Intake::path_of(request);
+    const auto& head = parser_->get();
+    const std::string_view path = Intake::path_of(head);
     if (path == "/healthz") {
-      head_only_ = request.method() == http::verb::head;
-      const unsigned status = request.method() != http::verb::get && !head_only_ ? 405
-                              : listener_.ready()                                ? 200
-                                                                                 : 503;
-      return answer({status, 0, {}, {}, {}}, false);
+      head_only_ = head.method() == http::verb::head;
+      const unsigned status = head.method() != http::verb::get && !head_only_ ? 405
+                              : listener_.ready()                             ? 200
+                                                                              : 503;
+      return answer({status, 0, {}, {}, {}, {}, {}}, false);
     }
-    if (!call_) return answer({404, 0, {}, {}, {}}, false);
+    if (!call_) return answer({404, 0, {}, {}, {}, {}, {}}, false);
+    submit(State::kWaiting);
+  }
+
+  // Hands the request to the engine, with what there is of its body. Whether it has taken it.
+  bool submit(State next) {
+    const auto& head = parser_->get();
+    std::string& body = parser_->get().body();
+    Forward& forward = *call_->forward;
+    const auto length = parser_->content_length();
+    if (head.method() != http::verb::post && !body.empty())
+      return turn_away(400, "a body where none belongs"), false;
+    if (listener_.engine_.knows(call_->client_id)) return turn_away(409, "this Request-Id is open"), false;
+    if (listener_.crowded()) return turn_away(503), false;
+    if (upload_ && !length) {
+      forward.head += "Transfer-Encoding: chunked\r\n";
+      forward.chunked = true;
+    } else if (head.method() == http::verb::post) {
+      forward.head += "Content-Length: " + std::to_string(upload_ ? *length : body.size()) + "\r\n";
+    }
+    forward.body = std::move(body);
+    body.clear();
+    forward.claim = std::exchange(claim_, {});
+    forward.rest = upload_;
     Call call = std::move(*call_);
     call_.reset();
-    call.came_at = came_at_;
-    if (request.method() == http::verb::post) {
-      call.forward->head += "Content-Length: " + std::to_string(request.body().size()) + "\r\n";
-    } else if (!request.body().empty()) {
-      return turn_away(400, "a body where none belongs");
-    }
-    call.forward->body = std::move(request.body());
-    call.forward->claim = std::exchange(claim_, {});
-    if (listener_.engine_.knows(call.client_id)) return turn_away(409, "this Request-Id is open");
-    if (listener_.crowded()) return turn_away(503);
-    enter(State::kWaiting);
+    call.came_at = now();
+    if (next == State::kWaiting) parser_.reset();
+    enter(next);
     ++listener_.pending_;
     taken_ = true;
     request_ = 0;
     wait_readable();
     const std::uint64_t number =
         listener_.engine_.submit(std::move(call), [self = shared_from_this()](Answer&& final) {
-          if (self->state_ != State::kWaiting) return;
+          if (self->state_ != State::kWaiting && self->state_ != State::kUploading) {
+            if (final.rest) final.rest->drop();
+            return;
+          }
           self->guarded([&] { self->answer(std::move(final), false); });
         });
     request_ = number;
+    return state_ == next;
   }
 
   void answer(Answer&& final, bool close) {
-    close_after_ = close || !keep_alive_ || listener_.finishing_ || listener_.count_ > listener_.most_;
+    // What still comes of its body has nowhere to go: where the next request begins can't be told.
+    const bool uploading = state_ == State::kUploading;
+    const bool full = listener_.count_ > listener_.most_;
     status_ = final.status;
+    chunked_ = final.rest && !final.length && chunks_;
+    const bool until_closed = final.rest && !final.length && !chunks_;
+    close_after_ = close || uploading || until_closed || !keep_alive_ || listener_.finishing_ || full;
     release();
-    head_ = head_of(final, close_after_);
+    head_ = head_of(final, close_after_, chunked_);
     answer_ = std::move(final);
     if (std::exchange(head_only_, false)) answer_.body.clear();
     enter(State::kWriting);
-    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_), asio::buffer(answer_.body)};
+    rest_ = std::exchange(answer_.rest, nullptr);
+    if (uploading) wait_readable();
+    if (rest_) {
+      error_code ignored;
+      socket_.set_option(tcp::socket::send_buffer_size(kStreamSendBuffer), ignored);
+      rest_->on_bytes([self = weak_from_this()] {
+        const auto to = self.lock();
+        if (to && to->state_ == State::kWriting && !to->moving_) to->guarded([&] { to->write_more(); });
+      });
+    }
+    write(std::array<asio::const_buffer, 2>{asio::buffer(head_), asio::buffer(answer_.body)});
+  }
+
+  template <class Buffers>
+  void write(const Buffers& parts) {
+    moving_ = true;
     asio::async_write(socket_, parts, [self = shared_from_this()](const error_code& error, std::size_t) {
       if (self->state_ != State::kWriting) return;
+      self->moving_ = false;
       if (error) return self->close();
-      self->guarded([&] { self->answered(); });
+      self->guarded([&] { self->write_more(); });
     });
   }
 
+  // What has been written is with the client. More of an answer that passes follows as it comes.
+  void write_more() {
+    if (!rest_) return answered();
+    if (!rest_->empty()) {
+      head_ = chunked_ ? chunk_of(rest_->take()) : rest_->take();
+    } else if (!rest_->ended()) {
+      return;
+    } else if (!rest_->whole()) {
+      return break_off();
+    } else {
+      rest_.reset();
+      if (!chunked_) return answered();
+      head_ = kLastChunk;
+    }
+    enter(State::kWriting);  // its time begins anew
+    write(std::array<asio::const_buffer, 1>{asio::buffer(head_)});
+  }
+
+  // Guards the client against a part of an answer that looks like all of it: without a length or chunks, only
+  // a reset shows.
+  void break_off() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+  }
+
   void answered() {
     // A sound request that is turned away was none of the engine's, and counts all the same.
     if (class_ && (taken_ || status_ == 503 || status_ == 409 || status_ == 413)) count(status_);
@@ -326,8 +459,7 @@
       enter(State::kIdle);
       return wait_readable();
     }
-    came_at_ = now();
-    enter(State::kReading);
+    begin_request();
     parse();
   }
 
@@ -340,6 +472,8 @@
 
   // What is held for a request that is being read.
   void release() {
+    if (upload_) upload_->end(false);
+    upload_.reset();
     parser_.reset();
     call_.reset();
     claim_ = {};
@@ -354,7 +488,14 @@
   unsigned status_ = 0;
   std::optional<std::size_t> class_;  // of a sound request that has had no whole answer
   Order::iterator place_;
-  double since_ = 0, came_at_ = 0;
+  double since_ = 0;
+  double began_at_ = 0, head_at_ = 0;      // of the request that is being read; head: 0 while it comes
+  double paused_at_ = 0, paused_ = 0;      // its server took no bytes from then on, and for so long before
+  std::size_t body_bytes_ = 0;             // that have come
+  bool moving_ = false;                    // bytes of its answer are being written
+  bool chunks_ = false, chunked_ = false;  // the client reads chunks; its answer has them
+  std::shared_ptr<Stream> upload_;         // the rest of a request's body
+  std::shared_ptr<Stream> rest_;           // the rest of its answer
   const double connected_at_ = now();
   std::uint64_t request_ = 0;
   std::size_t head_bytes_ = 0, thrown_away_ = 0;
@@ -362,7 +503,7 @@
   Answer answer_;
   Claim claim_;
   std::optional<Call> call_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<PieceBody>> parser_;
 };
 
 Listener::Listener(asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
@@ -490,12 +631,17 @@
   };
   close_older(fresh_, kReadLimit);
   close_older(idle_, kIdleLimit);
-  close_older(writing_, kWriteLimit);
   close_older(ending_, kEndingLimitS);
-  for (auto it = reading_.begin(); it != reading_.end();) {
-    const std::shared_ptr<Connection> next = *it++;
-    next->close_if_slow(kReadLimit);
+  const auto look_at = [](Order& order, const auto& look) {
+    for (auto it = order.begin(); it != order.end();) {
+      const std::shared_ptr<Connection> next = *it++;
+      look(*next);
+    }
+  };
+  for (Order* order : {&reading_, &uploading_}) {
+    look_at(*order, [](Connection& connection) { connection.close_if_slow(kReadLimit); });
   }
+  look_at(writing_, [](Connection& connection) { connection.close_if_stuck(kWriteLimit); });
   sweep_.expires_after(kSweepPeriod);
   sweep_.async_wait([this](const error_code& error) {
     if (!error) sweep();
--- a/node/listener.h
+++ b/node/listener.h
@@ -13,6 +13,7 @@
 #include "node/engine.h"
 #include "node/intake.h"
 #include "node/metrics.h"
+#include "node/stream.h"
 
 namespace nettlestand {
 
@@ -68,8 +69,9 @@
   std::size_t count_ = 0, pending_ = 0;
   std::size_t busy_ = 0;  // busy: with a request that waits for its answer or gets it
   bool listening_ = false, draining_ = false, finishing_ = false, accepting_ = false, full_ = false;
-  // Each in the order in which they became so. fresh: has sent nothing yet; ending: has its last answer.
-  Order fresh_, idle_, reading_, writing_, ending_;
+  // Each in the order in which they became so. fresh: has sent nothing yet; uploading: the engine has the
+  // request, and its body is still coming; ending: has its last answer.
+  Order fresh_, idle_, reading_, uploading_, writing_, ending_;
   std::array<char, 16 * 1024> scratch_{};  // what is read goes through here: one thread, one buffer
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_, sweep_;
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -23,15 +23,16 @@
 using boost::system::error_code;
 using quinceusher::Outcome;
 
-// The protocol's 64 KiB are not what servers keep to: whole answers of 130 to 390 KB were seen on days of
-// service. An answer over this limit is taken for spoilt.
-constexpr std::size_t kBodyLimit = 1024 * 1024;  // bytes
-constexpr std::size_t kHeadLimit = 16 * 1024;    // bytes, of an answer's head and of a chunk's
-constexpr double kFreshIdle = 0.1;               // s; a connection idle for less has hardly ever gone stale
-constexpr double kStaleReset = 0.02;             // s; a kept connection that breaks so soon was stale
-constexpr double kWary = 10;                     // s after such a one
-constexpr int kMostInterim = 8;                  // answers 1xx ahead of the final one
-constexpr double kKeepIdle = 0.9;  // of the servers' idle time; what is older is closed, not used
+constexpr std::size_t kHeadLimit = 16 * 1024;  // bytes, of an answer's head and of a chunk's
+constexpr double kHold =
+    0.1;  // s; how long an answer of unknown length is kept whole before it passes as it comes
+constexpr double kStall = 15;         // s without a byte in which a body that passes is given up
+constexpr int kLeastTimeout = 1;      // ms, told to the server
+constexpr double kFreshIdle = 0.1;    // s; a connection idle for less has hardly ever gone stale
+constexpr double kStaleReset = 0.02;  // s; a kept connection that breaks so soon was stale
+constexpr double kWary = 10;          // s after such a one
+constexpr int kMostInterim = 8;       // answers 1xx ahead of the final one
+constexpr double kKeepIdle = 0.9;     // of the servers' idle time; what is older is closed, not used
 
 std::chrono::nanoseconds duration(double seconds) {
   return std::chrono::nanoseconds(static_cast<std::int64_t>(std::max(0.0, seconds) * 1e9));
@@ -54,16 +55,19 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void begin(std::uint64_t serial, std::shared_ptr<const Forward> request, double timeout, Done done) {
+  void begin(std::uint64_t serial, std::shared_ptr<Forward> request, double timeout, Watcher watcher) {
     serial_ = serial;
     request_ = std::move(request);
     began_ = now();
     idle_ = state == State::kParked ? began_ - parked_at : 0;
+    timeout_ = timeout;
     give_up_at_ = began_ + timeout;
-    done_ = std::move(done);
+    watcher_ = std::move(watcher);
     fresh_parser();
     interim_ = 0;
     written_ = 0;
+    asked_at_ = hold_until_ = 0;
+    last_piece_ = blocked_ = false;
     out_.clear();
   }
 
@@ -84,15 +88,32 @@
 
   void start_writing() {
     state = State::kWriting;
+    progress_at_ = now();
     arm_timer(give_up_at_);
-    const double left = std::max(1.0, std::floor((give_up_at_ - now()) * 1000));
+    const double left = std::floor((give_up_at_ - now()) * 1000);
     out_ = request_->head;
-    out_ += "Request-Timeout-Ms: " + std::to_string(static_cast<std::int64_t>(left)) + "\r\n\r\n";
+    out_ +=
+        "Request-Timeout-Ms: " + std::to_string(std::max<std::int64_t>(std::int64_t(left), kLeastTimeout)) +
+        "\r\n\r\n";
+    kept_ = request_->body;
+    if (request_->chunked) {  // how the body begins is its first chunk
+      out_ += chunk_of(request_->body);
+      kept_ = {};
+    }
+    if (request_->rest) {
+      request_->rest->on_bytes([self = weak_from_this(), serial = serial_] {
+        const auto to = self.lock();
+        if (to && to->state == State::kWriting && serial == to->serial_ && !to->blocked_) {
+          to->guarded([&] { to->write(); });
+        }
+      });
+      wait_readable();  // a server may answer before it has heard all
+    }
     write();
   }
 
   void stop(std::uint64_t serial, Outcome outcome) {
-    if (serial == serial_ && done_) end(outcome, false);
+    if (serial == serial_ && watcher_.done) end(outcome, false);
   }
 
   Handle handle() { return {weak_from_this(), serial_}; }
@@ -106,20 +127,24 @@
 
   // Ends the attempt, if there is one, and with it the connection unless it may be kept.
   void end(Outcome outcome, bool keep) {
-    AttemptEnd result{outcome, {}, {}, {}};
+    AttemptEnd result{outcome, {}, {}, {}, asked_at_};
     if (outcome == Outcome::kReset && idle_ >= kFreshIdle && now() - began_ < kStaleReset) {
       pool_.wary_until_ = now() + kWary;
     }
-    if (outcome == Outcome::kDelivered) {
+    if (answer_) {
+      answer_->end(outcome == Outcome::kDelivered);
+    } else if (outcome == Outcome::kDelivered) {
       result.content_type = std::string(parser_->get()[http::field::content_type]);
       result.body = std::move(parser_->get().body());
       result.claim = std::exchange(claim_, {});
     }
     claim_ = {};
     timer_.cancel();
-    const Done done = std::exchange(done_, nullptr);
+    const auto done = std::exchange(watcher_, {}).done;
     parser_.reset();
     request_.reset();
+    answer_.reset();
+    kept_ = {};
     std::string().swap(out_);
     std::string().swap(in_);
     if (keep) {
@@ -156,44 +181,89 @@
   void arm_timer(double at) {
     timer_.expires_after(duration(at - now()));
     timer_.async_wait([self = shared_from_this(), serial = serial_](const error_code& error) {
-      if (!error && serial == self->serial_ && self->done_) self->expire();
+      if (!error && serial == self->serial_ && self->watcher_.done) self->guarded([&] { self->expire(); });
     });
   }
 
+  // Until when the server may take, as things are. Danger: a body that passes takes the time that its client
+  // and its size need; no time for an answer holds for it, but whoever moves no byte for long is given up.
+  double deadline() const {
+    const bool passes = answer_ || (state == State::kWriting && request_->rest);
+    if (!passes) return give_up_at_;
+    const bool other_side =
+        answer_ ? answer_->full() : !blocked_;  // the client is waited for, not the server
+    return (other_side ? now() : progress_at_) + kStall;
+  }
+
   // Guards against taking a sent request for one that never ran: only bytes still here prove it.
   void expire() {
     if (state == State::kConnecting && now() < give_up_at_) return end(Outcome::kDialFailed, false);
-    if (now() < give_up_at_) return arm_timer(give_up_at_);  // an older deadline's shot
+    if (!answer_ && hold_until_ > 0 && now() >= hold_until_) pass_on();
+    if (now() < deadline()) return arm_timer(deadline());
+    if (answer_) return end(Outcome::kReset, false);
     end(state == State::kReading ? Outcome::kTimedOut : Outcome::kDialFailed, false);
   }
 
   // The writing is done here and not by a composed operation, which would tell of the last byte only later:
   // in between, a time-out would take a request that is out for one that is not.
   void write() {
-    const std::size_t head = out_.size(), all = head + request_->body.size();
-    while (written_ < all) {
-      const std::string_view rest = std::string_view(written_ < head ? out_ : request_->body)
-                                        .substr(written_ < head ? written_ : written_ - head);
-      error_code error;
-      const std::array<asio::const_buffer, 2> parts = {
-          asio::buffer(rest.data(), rest.size()),
-          written_ < head ? asio::buffer(request_->body) : asio::const_buffer()};
-      written_ += socket_.write_some(parts, error);
-      if (error == asio::error::would_block) {
-        socket_.async_wait(tcp::socket::wait_write,
-                           [self = shared_from_this(), serial = serial_](const error_code& failed) {
-                             if (self->state != State::kWriting || serial != self->serial_) return;
-                             if (failed) return self->end(Outcome::kDialFailed, false);
-                             self->guarded([&] { self->write(); });
-                           });
-        return;
+    do {
+      while (written_ < out_.size() + kept_.size()) {
+        const std::size_t head = out_.size();
+        const std::array<asio::const_buffer, 2> parts = {
+            written_ < head ? asio::buffer(out_) + written_ : asio::const_buffer(),
+            asio::buffer(kept_.data(), kept_.size()) + (written_ > head ? written_ - head : 0)};
+        error_code error;
+        written_ += socket_.write_some(parts, error);
+        if (error == asio::error::would_block) return wait_writable();
+        if (error) return end(Outcome::kDialFailed, false);
+        progress_at_ = now();
+      }
+    } while (next_piece());
+  }
+
+  void wait_writable() {
+    blocked_ = true;
+    socket_.async_wait(tcp::socket::wait_write,
+                       [self = shared_from_this(), serial = serial_](const error_code& failed) {
+                         if (self->state != State::kWriting || serial != self->serial_) return;
+                         self->blocked_ = false;
+                         if (failed) return self->end(Outcome::kDialFailed, false);
+                         self->guarded([&] { self->write(); });
+                       });
+  }
+
+  // What is written has gone. Whether there is more to write now; if not, the client is waited for, or the
+  // answer.
+  bool next_piece() {
+    Stream* const rest = request_->rest.get();
+    if (rest != nullptr && !last_piece_) {
+      if (rest->empty() && !rest->ended()) return false;
+      // The client has broken off: the server does not begin what it has not got whole.
+      if (rest->empty() && !rest->whole()) return end(Outcome::kNotSent, false), false;
+      last_piece_ = rest->empty();
+      kept_ = {};
+      written_ = 0;
+      if (last_piece_) {
+        out_ = request_->chunked ? kLastChunk : std::string_view();
+        return !out_.empty() || next_piece();
       }
-      if (error) return end(Outcome::kDialFailed, false);
+      if (!std::exchange(request_->rest_begun, true)) watcher_.rest_begun();
+      out_ = request_->chunked ? chunk_of(rest->take()) : rest->take();
+      return true;
     }
     std::string().swap(out_);
+    kept_ = {};
     state = State::kReading;
     pool_.metrics_.attempt_written();
+    if (rest != nullptr) {
+      asked_at_ = now();
+      give_up_at_ = asked_at_ + timeout_;
+      arm_timer(give_up_at_);
+      watcher_.out();
+    }
     wait_readable();
+    return false;
   }
 
   // At most one wait is out; it stays out while the connection is parked and is taken over by the next use.
@@ -205,18 +275,23 @@
       if (self->state == State::kParked) {
         self->pool_.unpark(self);
         self->close();
-      } else if (self->state == State::kReading) {
-        if (error) return self->end(Outcome::kReset, false);
+      } else if (self->state == State::kReading || self->state == State::kWriting) {
+        if (error) return self->end(self->broken(), false);
         self->guarded([&] { self->read(); });
       }
     });
   }
 
+  // What a connection that breaks now says of its attempt.
+  Outcome broken() const { return state == State::kWriting ? Outcome::kDialFailed : Outcome::kReset; }
+
   void read() {
     error_code error;
     const std::size_t got = socket_.read_some(asio::buffer(pool_.scratch_), error);
     if (error == asio::error::would_block) return wait_readable();
-    if (error) return end(Outcome::kReset, false);  // an answer without a length ends here too: perhaps cut
+    if (error == asio::error::eof && ends_with_connection()) return end(outcome(), false);
+    if (error) return end(broken(), false);
+    progress_at_ = now();
     in_.append(pool_.scratch_.data(), got);
     std::size_t from = 0;
     while (from < in_.size() && !parser_->is_done()) {
@@ -230,7 +305,7 @@
       if (head_bytes_ > kHeadLimit || (in_head && parser_->is_header_done() && !sound_head())) {
         return end(Outcome::kUnknown, false);
       }
-      if (!claim_.grow_to(parser_->get().body().size())) return end(Outcome::kUnknown, false);
+      pass_body();
       if (error == http::error::need_more) break;
       if (parser_->is_done() && is_interim()) {
         if (++interim_ > kMostInterim) return end(Outcome::kUnknown, false);
@@ -240,27 +315,75 @@
       }
     }
     in_.erase(0, from);
-    if (parser_->is_done()) return end(outcome(), parser_->get().keep_alive() && in_.empty());
+    if (parser_->is_done()) {
+      return end(outcome(), state == State::kReading && parser_->get().keep_alive() && in_.empty());
+    }
     if (in_.size() > kHeadLimit) return end(Outcome::kUnknown, false);
-    wait_readable();
+    if (!answer_ || !answer_->full()) wait_readable();  // else once there is room
+  }
+
+  // An answer with neither a length nor chunks is whole when its connection is closed in good order.
+  bool ends_with_connection() {
+    if (!parser_->is_header_done() || !parser_->need_eof() || is_interim()) return false;
+    error_code error;
+    parser_->put_eof(error);
+    return !error && parser_->is_done();
+  }
+
+  // Where the body goes that has come so far. Errors have none that is passed on.
+  void pass_body() {
+    if (!parser_->is_header_done() || is_interim()) return;
+    std::string& body = parser_->get().body();
+    if (parser_->get().result_int() != 200) return body.clear();
+    const auto length = parser_->content_length();
+    if (!answer_ &&
+        (body.size() > kWholeBody || (length && *length > kWholeBody) || !claim_.grow_to(body.size()))) {
+      return pass_on();
+    }
+    if (answer_) {
+      answer_->give(body);
+      body.clear();
+    } else if (!length && hold_until_ == 0 && !parser_->is_done()) {
+      hold_until_ = now() + kHold;
+      arm_timer(std::min(hold_until_, give_up_at_));
+    }
+  }
+
+  // From here on the answer is its client's: its bytes pass as they come.
+  void pass_on() {
+    hold_until_ = 0;
+    answer_ = std::make_shared<Stream>(pool_.io_, pool_.budget_);
+    answer_->on_room([self = weak_from_this(), serial = serial_] {
+      const auto to = self.lock();
+      if (!to || serial != to->serial_ || !to->answer_) return;
+      if (to->answer_->dropped()) return to->end(Outcome::kCancelled, false);
+      to->progress_at_ = now();  // the client was waited for
+      to->wait_readable();
+    });
+    std::optional<std::uint64_t> length;
+    if (const auto told = parser_->content_length()) length = *told;
+    std::string& body = parser_->get().body();
+    answer_->give(body);
+    std::string().swap(body);
+    claim_.release();
+    watcher_.begins({std::string(parser_->get()[http::field::content_type]), length, answer_, asked_at_});
+    arm_timer(deadline());
   }
 
   // Not eager: an eager parser of Beast 1.74 goes on after a head whose body is over the limit.
   void fresh_parser() {
     parser_.emplace();
-    parser_->body_limit(kBodyLimit);
+    parser_->body_limit(kLargestBody);
     head_bytes_ = 0;
     claim_ = Claim(pool_.budget_);
   }
 
-  // Whether a head leaves no doubt where its answer ends, and there is room for it.
+  // Whether a head leaves no doubt where its answer ends.
   bool sound_head() {
     const auto& head = parser_->get();
     const std::size_t encodings = head.count(http::field::transfer_encoding);
     if (head.count(http::field::content_length) + encodings > 1) return false;
-    if (encodings == 1 && !boost::beast::iequals(head[http::field::transfer_encoding], "chunked"))
-      return false;
-    return claim_.grow_to(parser_->content_length().value_or(0));
+    return encodings == 0 || boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
   }
 
   bool is_interim() const {
@@ -270,7 +393,7 @@
 
   // Only the two statuses with the server's word for it prove that a request never ran.
   Outcome outcome() const {
-    const http::response<http::string_body>& answer = parser_->get();
+    const auto& answer = parser_->get();
     const unsigned status = answer.result_int();
     if (status == 200) return Outcome::kDelivered;
     if ((status == 503 || status == 504) && answer["Not-Started"] == "1") return Outcome::kRejected;
@@ -290,16 +413,19 @@
  private:
   tcp::socket socket_;
   asio::steady_timer timer_;
-  bool waiting_ = false;
-  std::string in_, out_;  // out: the head of the request
+  bool waiting_ = false, blocked_ = false, last_piece_ = false;  // blocked: the server takes no bytes now
+  std::string in_, out_;                                         // out: what is being written
+  std::string_view kept_;                                        // and the request's kept bytes behind it
   std::size_t written_ = 0, head_bytes_ = 0;
   int interim_ = 0;
   Claim claim_;
   std::uint64_t serial_ = 0;
-  std::shared_ptr<const Forward> request_;
-  double began_ = 0, idle_ = 0, give_up_at_ = 0;
-  Done done_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::shared_ptr<Forward> request_;
+  std::shared_ptr<Stream> answer_;  // its body, once it passes as it comes
+  double began_ = 0, idle_ = 0, timeout_ = 0, give_up_at_ = 0;
+  double asked_at_ = 0, progress_at_ = 0, hold_until_ = 0;
+  Watcher watcher_;
+  std::optional<http::response_parser<PieceBody>> parser_;
 };
 
 Upstream::Upstream(asio::io_context& io, const Config& config, ByteBudget& budget, Metrics& metrics,
@@ -319,25 +445,25 @@
   return it == servers_.end() ? nullptr : &it->second;
 }
 
-Upstream::Handle Upstream::start(const std::string& server, std::shared_ptr<const Forward> request,
-                                 double timeout, Done done) {
+Upstream::Handle Upstream::start(const std::string& server, std::shared_ptr<Forward> request, double timeout,
+                                 Watcher watcher) {
   Server* known = find(server);
   if (known == nullptr || timeout <= 0) {
-    done({Outcome::kNotSent, {}, {}, {}});
+    watcher.done({Outcome::kNotSent, {}, {}, {}, 0});
     return {};
   }
   const std::uint64_t serial = ++serial_;
   if (const std::shared_ptr<Connection> old = reuse(*known)) {
-    old->begin(serial, std::move(request), timeout, std::move(done));
+    old->begin(serial, std::move(request), timeout, std::move(watcher));
     old->start_writing();
     return {old, serial};
   }
   if (!make_room()) {
-    done({Outcome::kNotSent, {}, {}, {}});
+    watcher.done({Outcome::kNotSent, {}, {}, {}, 0});
     return {};
   }
   const auto fresh = std::make_shared<Connection>(*this, server, known->generation);
-  fresh->begin(serial, std::move(request), timeout, std::move(done));
+  fresh->begin(serial, std::move(request), timeout, std::move(watcher));
   known->connecting.insert(fresh);
   fresh->connect(known->dial);
   return {fresh, serial};
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -18,26 +19,45 @@
 #include "node/budget.h"
 #include "node/config.h"
 #include "node/metrics.h"
+#include "node/stream.h"
 #include "quinceusher/balancer.h"
 
 namespace nettlestand {
 
 // A request as it goes on to a server.
 struct Forward {
-  std::string head;  // request line and headers, but for Request-Timeout-Ms and the empty line
-  std::string body;
-  Claim claim;  // on the bytes of the body
+  std::string head;              // request line and headers, but for Request-Timeout-Ms and the empty line
+  std::string body;              // all of it, or how it begins
+  Claim claim;                   // on these bytes
+  std::shared_ptr<Stream> rest;  // what follows, while the client still sends it; null: nothing
+  bool chunked = false;          // the length is not known
+  bool rest_begun = false;       // a part of the rest has gone out, and is kept nowhere
 };
 
 struct AttemptEnd {
   quinceusher::Outcome outcome = quinceusher::Outcome::kUnknown;
-  std::string body, content_type;  // of a delivered answer
+  std::string body, content_type;  // of a delivered answer, unless it has passed as a stream
   Claim claim;                     // on the bytes of that body
+  double asked_at = 0;             // when the request was out, where that took the client's time; else 0
+};
+
+// An answer of 200 that is too large to be kept, or too slow to be waited for: its body follows.
+struct AnswerBegins {
+  std::string content_type;
+  std::optional<std::uint64_t> length;
+  std::shared_ptr<Stream> body;
+  double asked_at = 0;  // as above
 };
 
 class Upstream {
  public:
-  using Done = std::function<void(AttemptEnd&&)>;
+  // Who is told what becomes of an attempt. done: exactly once.
+  struct Watcher {
+    std::function<void(AttemptEnd&&)> done;
+    std::function<void(AnswerBegins&&)> begins;
+    std::function<void()> rest_begun;  // see Forward
+    std::function<void()> out;         // the last byte, where the rest took its client's time
+  };
   class Connection;
   struct Handle {
     std::weak_ptr<Connection> connection;
@@ -47,8 +67,8 @@
   Upstream(boost::asio::io_context& io, const Config& config, ByteBudget& budget, Metrics& metrics,
            std::size_t most_sockets);
 
-  // Starts an attempt. `done` is called exactly once, perhaps before this returns.
-  Handle start(const std::string& server, std::shared_ptr<const Forward> request, double timeout, Done done);
+  // Starts an attempt. Its end may come before this returns. The timeout counts from when the request is out.
+  Handle start(const std::string& server, std::shared_ptr<Forward> request, double timeout, Watcher watcher);
 
   // Stops waiting for an attempt; it ends so unless it has ended.
   void stop(const Handle& attempt, quinceusher::Outcome outcome);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -5,28 +5,28 @@
 #include <cmath>
 #include <limits>
 #include <unordered_map>
+#include <utility>
 
+#include "idle.h"
 #include "members.h"
 #include "quinceusher/balancer.h"
 #include "support.h"
+#include "tenants.h"
 
 namespace quinceusher {
 namespace {
 
 // ---------------------------------------------------------------- constants
 
-constexpr double kBucket = 0.1;          // s; grain of the sliding window, a tenth of the short rate's second
 constexpr int kLeastBuckets = 15;        // 1.5 s: an empty window lets this much of the limit in at once
 constexpr int kMostBuckets = 80;         // 8 s: a longer window would notice a tenant's burst after its end
 constexpr double kWindowCalls = 15;      // calls; a window holds so many where it can: fewer come by chance
-constexpr int kLastSecondBuckets = 10;   // 1000 ms, the short rate of the source
 constexpr double kHardLimitFactor = 20;  // denied calls count too: below real floods nothing is denied whole
 constexpr double kFactorCache = 0.1;     // s; as in the source
 constexpr double kStartShare = 1.2;  // x allowance; start of a limit, the first step above it being learned
 constexpr double kFloorShare = 1.2;  // x allowance; headroom as copies do not get even parts of a tenant
 constexpr double kSparseStart = 4;   // x allowance; chance gives a copy with few calls several times its part
 constexpr double kDeepFloorShare = 6;  // x allowance past tier 0: a refusal there wastes the work above it
-constexpr double kFloorRate = 2;       // calls/s over all copies; least floor of a limit
 constexpr double kReviewPeriod = 1;    // s; least time between changes of a limit, a feedback delay
 constexpr double kReviewCalls = 5;     // calls; fewer say nothing about a tenant
 constexpr double kBadShare = 0.1;      // of ended calls; above it a limit drops
@@ -48,13 +48,6 @@
 
 constexpr double kQueueFactor = 1.5;  // x the usual answer time of an idle tier; longer queues get no call
 constexpr double kTierFactor = 1.8;   // x the same for all servers together, whose measure is steadier
-constexpr double kStartBase = 0.15;   // of the aim; taken for the usual answer time until it is learned
-constexpr double kMostBase = 0.3;     // of the aim; a start under load takes no queue for usual
-constexpr double kBaseCalls = 20;     // calls; answers before the usual answer time counts as learned
-constexpr double kBaseSettle = 3;     // s; before it the answers are those of the quickest calls only
-constexpr double kBaseGain = 0.02;    // weight of one answer
-constexpr double kBaseFall = 5;       // s; how fast a quicker tier becomes the usual
-constexpr double kBaseRise = 60;      // s; how fast a slower one does: queues must not
 constexpr double kLeastRoom = 2;      // calls in flight, over all copies, that any server has room for
 constexpr double kThinRoom = 1.75;    // calls; a part of a server's room below it is too coarse a measure
 constexpr double kFewCalls = 3;  // calls in flight; a copy with fewer at a time is sparse: they tell nothing
@@ -77,39 +70,6 @@
 constexpr double kLogPeriod = 5;       // s; least time between two log lines of a kind
 constexpr std::uint64_t kWatchTimer = 0;
 
-constexpr double kForever = std::numeric_limits<double>::infinity();
-
-// Which outcomes prove that an attempt never ran. Danger: taking an unknown end for harmless repeats effects.
-bool never_ran(Outcome outcome) {
-  return outcome == Outcome::kRejected || outcome == Outcome::kDialFailed || outcome == Outcome::kNotSent;
-}
-
-// The answer time without queues, as a part of the aim: falls soon, rises slowly. Danger: the first answers
-// of a start are those of the quickest calls; a bound learned from them starves the tier.
-struct IdleTime {
-  Estimate usual;
-  double base = kStartBase, at = 0;
-  bool learned = false;
-  void add(double now, double part_of_aim) {
-    if (usual.samples == 0) at = now + kBaseSettle;
-    usual.add(part_of_aim, kBaseGain);
-    if (now < at || usual.samples < kBaseCalls) return;
-    if (!learned) base = usual.mean;
-    const double step = (now - at) / (usual.mean < base ? kBaseFall : kBaseRise);
-    base = std::min(base + (usual.mean - base) * std::min(1.0, step), kMostBase);
-    learned = true;
-    at = now;
-  }
-};
-
-struct TenantState {
-  explicit TenantState(int buckets) : window(kBucket, buckets, kLastSecondBuckets) {}
-  SlidingWindow window;
-  double part = 0, limit = kForever, floor = kFloorRate, worth = 1;  // worth: of what exceeds its part
-  double factor = 0, factor_until = -kForever;
-  double ended = 0, bad = 0, next_review = -kForever;
-};
-
 }  // namespace
 
 double suppression_factor(double rate_limit, double window_rate, double last_second_rate) {
@@ -412,7 +372,7 @@
   // ---------------------------------------------------------------- again?
 
   bool worth_another(const Pending& p) const {
-    return !p.streaming && p.attempts.size() < static_cast<std::size_t>(settings_.max_attempts) &&
+    return !p.streaming && !p.once && p.attempts.size() < static_cast<std::size_t>(settings_.max_attempts) &&
            retry_tokens_ >= 1 && p.useful_until - now_ > latency_[p.request_class].mean / 2;
   }
 
@@ -435,10 +395,8 @@
     retry_tokens_ =
         p.attempts.empty() ? std::min(kRetryBurst, retry_tokens_ + kRetryShare) : retry_tokens_ - 1;
     if (warmth(s) < 1) s.cold_tokens -= 1;
-    s.in_flight += 1;
-    s.sent_sum += now_;
-    in_flight_.change(now_, 1);
-    p.attempts.push_back({*server, s.order, s.told.zone, s.told.cell, now_, true, true});
+    p.attempts.push_back({*server, s.order, s.told.zone, s.told.cell, now_});
+    if (!p.arriving) enter(p.attempts.back());
     out_->push_back(Send{id, s.told.address, limit});
     return true;
   }
@@ -480,6 +438,7 @@
     admitted_.add(now_);
     Pending& p = pending_[r.id];
     p.tenant = tenant;
+    p.arriving = r.arriving;
     p.request_class = std::min(r.request_class, settings_.classes.size() - 1);
     const RequestClass& c = settings_.classes[p.request_class];
     if (std::isfinite(c.aim)) aim_.add(std::min(c.aim, c.give_up), kLatencyGain);
@@ -494,43 +453,67 @@
   }
 
   void on(const AttemptResult& r) {
-    const auto it = pending_.find(r.id);
-    if (it == pending_.end()) return;
-    Pending& p = it->second;
-    if (r.attempt < 0 || static_cast<std::size_t>(r.attempt) >= p.attempts.size()) return;
-    Attempt& a = p.attempts[static_cast<std::size_t>(r.attempt)];
-    if (!a.open) return;
-    a.open = false;
-    a.may_have_run = !never_ran(r.outcome);
-    ServerNode& s = servers_[a.server];
-    s.in_flight -= 1;
-    s.sent_sum -= a.sent;
-    in_flight_.change(now_, -1);
-    learn_from(p, s, r);
+    const auto [request, a] = find(r.id, r.attempt);
+    if (a == nullptr) return;
+    Pending& p = *request;
+    a->open = false;
+    a->may_have_run = !never_ran(r.outcome);
+    leave(*a);
+    learn_from(p, *a, r.outcome, r.elapsed);
     if (r.request_done && !p.finished) {
       p.finished = true;
       cancel_open(r.id, p);
     }
     if (!p.finished && !p.any_open() && !(worth_another(p) && send(r.id, p))) answer_unserved(r.id, p);
-    if (p.finished && !p.any_open()) pending_.erase(it);
+    if (p.finished && !p.any_open()) pending_.erase(r.id);
+  }
+
+  // The attempt that an event names, if it is still out, and its request.
+  std::pair<Pending*, Attempt*> find(const std::string& id, int attempt) {
+    const auto it = pending_.find(id);
+    const auto at = static_cast<std::size_t>(attempt);  // below 0 is past the end too
+    if (it == pending_.end() || at >= it->second.attempts.size()) return {};
+    Attempt& a = it->second.attempts[at];
+    return a.open ? std::pair(&it->second, &a) : std::pair<Pending*, Attempt*>();
+  }
+
+  // A server has an attempt. Danger: while a body takes its client's time its server has nothing to do;
+  // counted as work in flight, some slow clients shut the tier to all others.
+  void enter(Attempt& a) {
+    if (servers_[a.server].order != a.order) return;  // it has gone meanwhile, and its slot to another
+    a.in_flight = true;
+    a.sent = now_;
+    servers_[a.server].in_flight += 1;
+    servers_[a.server].sent_sum += now_;
+    in_flight_.change(now_, 1);
+  }
+
+  // It is done with it, or nobody waits.
+  void leave(Attempt& a) {
+    if (!std::exchange(a.in_flight, false)) return;
+    servers_[a.server].in_flight -= 1;
+    servers_[a.server].sent_sum -= a.sent;
+    in_flight_.change(now_, -1);
   }
 
-  void learn_from(const Pending& p, ServerNode& s, const AttemptResult& r) {
+  void learn_from(const Pending& p, Attempt& a, Outcome outcome, double elapsed) {
+    if (std::exchange(a.learned, true) || servers_[a.server].order != a.order) return;
+    ServerNode& s = servers_[a.server];
     const bool was_well = slowness(s, now_) < kIll;
-    if (r.outcome == Outcome::kCancelled || r.outcome == Outcome::kNotSent) return;
-    const bool answered = r.outcome == Outcome::kDelivered;
+    if (outcome == Outcome::kCancelled || outcome == Outcome::kNotSent) return;
+    const bool answered = outcome == Outcome::kDelivered;
     const double aim = settings_.classes[p.request_class].aim;
-    const double part_of_aim = aim > 0 ? r.elapsed / aim : 0;
+    const double part_of_aim = aim > 0 ? elapsed / aim : 0;
     if (answered) {
       s.answered.add(now_);
       answered_.add(now_);
       idle_.add(now_, part_of_aim);
     }
-    if (answered || r.outcome == Outcome::kTimedOut) {
-      latency_[p.request_class].add(r.elapsed, kLatencyGain);
+    if (answered || outcome == Outcome::kTimedOut) {
+      latency_[p.request_class].add(elapsed, kLatencyGain);
       tier_answer_.add(part_of_aim, kLatencyGain);
     }
-    if (r.outcome != Outcome::kRejected) {
+    if (outcome != Outcome::kRejected) {
       const double took = answered ? part_of_aim : std::max(part_of_aim, kFailed * tier_answer_.mean);
       s.answers.add(now_, took);
       (is_far(s) ? far_ : near_).add(now_, std::min(took / std::max(tier_answer_.mean, 0.01), kIll));
@@ -540,8 +523,25 @@
   }
 
   void on(const AnswerStarted& r) {
+    const auto [p, a] = find(r.id, r.attempt);
+    if (a == nullptr) return;
+    p->streaming = true;
+    // The answer counts from its first byte. Danger: how long a large one takes to pass tells of its size and
+    // of the client; learned as an answer time it would shun the server.
+    leave(*a);
+    learn_from(*p, *a, Outcome::kDelivered, r.elapsed);
+  }
+
+  void on(const AttemptOut& r) {
+    const auto [p, a] = find(r.id, r.attempt);
+    if (a == nullptr || !std::exchange(p->arriving, false)) return;
+    p->useful_until += now_ - a->sent;
+    if (!p->streaming) enter(*a);
+  }
+
+  void on(const BodyGone& r) {
     const auto it = pending_.find(r.id);
-    if (it != pending_.end()) it->second.streaming = true;
+    if (it != pending_.end()) it->second.once = true;
   }
 
   void on(const RequestGone& r) {
--- a/src/support.h
+++ b/src/support.h
@@ -145,12 +145,19 @@
   Sum told_;
 };
 
+// Which outcomes prove that an attempt never ran. Danger: taking an unknown end for harmless repeats effects.
+inline bool never_ran(Outcome outcome) {
+  return outcome == Outcome::kRejected || outcome == Outcome::kDialFailed || outcome == Outcome::kNotSent;
+}
+
 struct Attempt {
   std::size_t server = 0;   // its slot; another's once the attempt has ended
   std::uint64_t order = 0;  // tells the server for good
   int zone = 0, cell = 0;   // of the server, when it was sent to
   double sent = 0;
   bool open = true, may_have_run = true;
+  bool in_flight = false;  // counted as such: the server has it, and does not give its answer yet
+  bool learned = false;    // what it tells of its server has been taken in
 };
 
 // A request that still owes an answer, or has attempts out.
@@ -159,6 +166,8 @@
   double useful_until = 0;  // when the answer becomes worthless
   std::vector<Attempt> attempts;
   bool finished = false, streaming = false;
+  bool arriving = false;  // its body is still coming
+  bool once = false;      // no further attempt is possible
 
   bool any_open() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -169,6 +169,65 @@
 }
 
 // Danger: what each of many copies takes for a small start is a crowd when all of them start together.
+// A call whose body is still coming, and the server it went to; empty where it was refused.
+std::string arriving(Copy& copy, const std::string& id) {
+  Request r;
+  r.id = id;
+  r.time_left = 6;
+  r.arriving = true;
+  const std::vector<Send> sent = all<Send>(copy.at(copy.now, r));
+  return sent.empty() ? "" : sent[0].server;
+}
+
+TEST(Room, WhatIsStillArrivingIsNoWorkYet) {
+  Copy copy(basic_settings());
+  copy.at(0, members(4));
+  int sent = 0;
+  for (int i = 0; i < 500; ++i) sent += arriving(copy, std::to_string(i)).empty() ? 0 : 1;
+  EXPECT_EQ(sent, 500) << "slow clients shut nobody out";
+  for (int i = 0; i < 500; ++i) copy.at(1, AttemptOut{std::to_string(i), 0});
+  EXPECT_TRUE(all<Send>(copy.request("next")).empty()) << "from there on the servers have them";
+  for (int i = 0; i < 500; ++i) copy.end(std::to_string(i), Outcome::kCancelled);
+  EXPECT_FALSE(all<Send>(copy.request("after")).empty());
+}
+
+TEST(Room, ASlotThatHasGoneToAnotherServerIsNotCharged) {
+  Copy copy(basic_settings());
+  copy.at(0, members(1));
+  ASSERT_EQ(arriving(copy, "a"), "s0");
+  MembershipUpdate next;
+  next.servers = {server(1)};
+  copy.at(0, next);
+  copy.at(1, AttemptOut{"a", 0});
+  copy.end("a", Outcome::kError);
+  for (int i = 0; i < 3; ++i) EXPECT_FALSE(all<Send>(copy.request("b" + std::to_string(i))).empty());
+}
+
+TEST(Room, ALargeAnswerCountsFromItsFirstByte) {
+  Copy copy(basic_settings());
+  copy.at(0, members(4));
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = std::to_string(i);
+    copy.now += 0.05;
+    ASSERT_FALSE(all<Send>(copy.request(id)).empty()) << i;
+    copy.at(copy.now, AnswerStarted{id, 0, 0.1});
+    if (i >= 100) copy.end(std::to_string(i - 100), Outcome::kDelivered, 0, 5);  // it took long to pass
+  }
+  EXPECT_EQ(copy.balancer.members(copy.now).avoided, 0U);
+}
+
+TEST(Timeouts, WhatHasGoneOutAndIsNotKeptIsNotSentAgain) {
+  for (const bool gone : {false, true}) {
+    Copy copy(basic_settings());
+    copy.at(0, members(4));
+    copy.request("a");
+    if (gone) copy.at(0, BodyGone{"a"});
+    const std::vector<Action> actions = copy.end("a", Outcome::kDialFailed);
+    EXPECT_EQ(all<Send>(actions).empty(), gone);
+    EXPECT_EQ(all<Refuse>(actions).size(), gone ? 1U : 0U) << "no server has begun it";
+  }
+}
+
 TEST(Room, TheStartIsSharedOutOverTheCopies) {
   std::map<std::string, int> held;
   for (int index = 0; index < 8; ++index) {
