--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -247,6 +247,11 @@
   // Bytes of a body, which is kept whole as long as it is small. Whether the request goes on.
   bool body_came() {
     std::string& body = parser_->get().body();
+    if (!call_ && state_ != State::kUploading) {  // nobody wants it: its connection gets a 404 in the end
+      body_bytes_ += body.size();
+      body.clear();
+      return true;
+    }
     if (state_ == State::kUploading) {
       body_bytes_ += body.size();
       upload_->give(body);
@@ -256,7 +261,7 @@
     body_bytes_ = body.size();
     if (!claim_.grow_to(std::min(body.size(), kWholeBody), listener_.budget_.size() / 2))
       return turn_away(503), false;
-    if (body.size() < kWholeBody || parser_->is_done() || !call_) return true;
+    if (body.size() < kWholeBody || parser_->is_done()) return true;
     upload_ = std::make_shared<Stream>(listener_.io_, listener_.budget_);
     upload_->on_room([self = weak_from_this()] {
       const auto to = self.lock();
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -289,6 +289,22 @@
   EXPECT_FALSE(whole);
 }
 
+TEST(Stream, BodiesThatNobodyWantsAreNotKept) {
+  OneServer w;
+  std::vector<Wire> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(w.client());
+    std::thread asking([&] {
+      callers.back().send("POST /nowhere HTTP/1.1\r\n" + length(8 * kMega) + std::string(8 * kMega, 'x'));
+    });
+    EXPECT_TRUE(has(callers.back().message(), "HTTP/1.1 404 "));
+    asking.join();
+  }
+#ifndef __SANITIZE_ADDRESS__
+  EXPECT_LT(w.memory_kb(), 16 * 1024);
+#endif
+}
+
 TEST(Stream, SlowClientsAreServedAndSilentOnesAreNot) {
   OneServer w;
   Wire slow = w.client(), silent = w.client();
