Let large answers outlive the drain, and tell who has sent a part of a request

It now stays while an answer is owed or being written; parts of requests are refused with 503 at the end, not dropped; and once another process serves, idle connections are closed at once, so that less is asked of a process with little time.

--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -92,6 +92,10 @@
     return true;
   }
 
+  void refuse_part() {
+    if (state_ == State::kReading) guarded([&] { turn_away(503); });
+  }
+
   // Ends it where its client has taken no byte for so long. That there are none to take is not its doing.
   void close_if_stuck(double limit) {
     if (moving_ && now() - since_ > limit) close();
@@ -653,12 +657,19 @@
   });
 }
 
-void Listener::finish() {
+void Listener::finish(bool fresh_too) {
   finishing_ = true;
-  for (const Order* order : {&fresh_, &idle_}) {
-    const Order all = *order;
+  const auto close = [](const Order& order) {
+    const Order all = order;
     for (const std::shared_ptr<Connection>& connection : all) connection->close_if_idle();
-  }
+  };
+  close(idle_);
+  if (fresh_too) close(fresh_);
+}
+
+void Listener::refuse_parts() {
+  const Order all = reading_;
+  for (const std::shared_ptr<Connection>& connection : all) connection->refuse_part();
 }
 
 void Listener::stop_accepting() {
--- a/node/listener.h
+++ b/node/listener.h
@@ -37,13 +37,16 @@
 
   // Says that the node leaves: /healthz answers 503 from now on. Clients may go on using what they have.
   void drain() { draining_ = true; }
-  // Answers from now on end their connections. What is idle stays, and new ones are still accepted.
-  void finish_answers() { finishing_ = true; }
-  // And what is idle is closed.
-  void finish();
+  // Answers from now on end their connections, and what is idle is closed. New ones are still accepted, and
+  // those that have sent nothing yet stay open unless they are to be closed too.
+  void finish(bool fresh_too);
   // Accepts what has been connected by now, and nothing after that.
   void stop_accepting();
+  // Whoever has sent a part of a request is refused.
+  void refuse_parts();
   std::size_t connections() const { return count_; }
+  // Connections whose answer is owed or being written.
+  std::size_t busy() const { return busy_; }
   // Requests that are taken and have not had their whole answer.
   std::size_t pending() const { return pending_; }
   // Whether this process can serve: what /healthz and the operators are told.
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -195,10 +195,12 @@
 
   void look() {
     const double since = ns::now() - drain_began_;
-    // Another process of this node serves: new connections are for it, and clients are sent there as they get
-    // their answers. What is idle is left to them for now, since closing it might cross a request.
+    // Another process of this node serves: clients are for it, by new connections, at once. Danger: what they
+    // go on asking here may not be answered before SIGKILL, above all where answers are large. Closing what
+    // is idle crosses a request only within the moment that bytes take to come, and the client then asks
+    // again.
     const bool replaced = siblings_.others(ns::Siblings::Word::kServes) > 0;
-    if (replaced) listener_.finish_answers();
+    if (replaced) listener_.finish(since >= kAcceptOn);
     if (replaced || since >= kAcceptOn) {
       if (accepting_) listener_.stop_accepting();
       accepting_ = false;
@@ -207,10 +209,15 @@
     // connections at the signal leaves them without service for seconds in which this node can still serve.
     const double served =
         alone_ && !replaced ? last_answers_ - kServeAlone : last_answers_ - kLastAnswers - kMoveOn;
-    if (since >= std::max(kAcceptOn, served)) listener_.finish();
-    if (since >= last_answers_) engine_.expire_all();
+    if (since >= std::max(kAcceptOn, served)) listener_.finish(true);
+    if (since >= last_answers_) {
+      engine_.expire_all();
+      listener_.refuse_parts();
+    }
+    // Danger: a large answer may take longer than any deadline. Its server still gives, and as long as nobody
+    // kills this process it is not this process that cuts it off.
     if ((!accepting_ && (replaced || since >= kAcceptOn + 0.1) && listener_.connections() == 0) ||
-        since >= last_answers_ + kExit) {
+        (since >= last_answers_ + kExit && listener_.busy() == 0)) {
       ns::log_line("drained");
       return io_.stop();
     }
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -305,6 +305,33 @@
 #endif
 }
 
+// What is still passing when the drain's time is up is not cut off by the process itself.
+TEST(Stream, ALargeAnswerOutlivesTheDrain) {
+  OneServer w;
+  Wire caller = w.client(), part = w.client();
+  Wire server = w.ask(caller);
+  server.send("HTTP/1.1 200 OK\r\n" + length(1000000) + "begins");
+  caller.up_to("begins");
+  w.node->signal(SIGTERM);
+  w.node->log("draining");
+  const double from = seconds();
+  std::string sent = head("close", "r2") + length(400000) + body_of(200000);
+  until(
+      [&] {  // slowly enough to be still on its way at the end, and quickly enough not to be cut off for that
+        const std::size_t piece = std::min<std::size_t>(sent.size(), 6000);
+        if (piece > 0) part.send(sent.substr(0, piece));
+        sent.erase(0, piece);
+        return !part.quiet(100);
+      });
+  EXPECT_TRUE(has(part.message(), "HTTP/1.1 504 ")) << "told, not dropped; a server has a part of it";
+  EXPECT_GT(seconds() - from, 3);
+  EXPECT_TRUE(part.ended());
+  EXPECT_TRUE(caller.quiet(300));
+  server.send(std::string(1000000 - 6, 'x'));
+  EXPECT_EQ(caller.bytes(1000000 - 6).size(), 1000000U - 6);
+  EXPECT_EQ(w.node->exit_code(), 0);
+}
+
 TEST(Stream, SlowClientsAreServedAndSilentOnesAreNot) {
   OneServer w;
   Wire slow = w.client(), silent = w.client();
