--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -657,14 +657,12 @@
   });
 }
 
-void Listener::finish(bool fresh_too) {
+void Listener::finish() {
   finishing_ = true;
-  const auto close = [](const Order& order) {
-    const Order all = order;
+  for (const Order* order : {&fresh_, &idle_}) {
+    const Order all = *order;
     for (const std::shared_ptr<Connection>& connection : all) connection->close_if_idle();
-  };
-  close(idle_);
-  if (fresh_too) close(fresh_);
+  }
 }
 
 void Listener::refuse_parts() {
--- a/node/listener.h
+++ b/node/listener.h
@@ -37,9 +37,10 @@
 
   // Says that the node leaves: /healthz answers 503 from now on. Clients may go on using what they have.
   void drain() { draining_ = true; }
-  // Answers from now on end their connections, and what is idle is closed. New ones are still accepted, and
-  // those that have sent nothing yet stay open unless they are to be closed too.
-  void finish(bool fresh_too);
+  // Answers from now on end their connections. What is idle stays, and new ones are still accepted.
+  void finish_answers() { finishing_ = true; }
+  // And what is idle is closed.
+  void finish();
   // Accepts what has been connected by now, and nothing after that.
   void stop_accepting();
   // Whoever has sent a part of a request is refused.
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -195,12 +195,12 @@
 
   void look() {
     const double since = ns::now() - drain_began_;
-    // Another process of this node serves: clients are for it, by new connections, at once. Danger: what they
-    // go on asking here may not be answered before SIGKILL, above all where answers are large. Closing what
-    // is idle crosses a request only within the moment that bytes take to come, and the client then asks
-    // again.
+    // Another process of this node serves: new connections are for it, and clients are sent there as they get
+    // their answers. What is idle is left to them for now. Danger: a new process has learned nothing of its
+    // servers; given all clients at once it had more turned away by them, and a tenth of a day's score was
+    // lost.
     const bool replaced = siblings_.others(ns::Siblings::Word::kServes) > 0;
-    if (replaced) listener_.finish(since >= kAcceptOn);
+    if (replaced) listener_.finish_answers();
     if (replaced || since >= kAcceptOn) {
       if (accepting_) listener_.stop_accepting();
       accepting_ = false;
@@ -209,7 +209,7 @@
     // connections at the signal leaves them without service for seconds in which this node can still serve.
     const double served =
         alone_ && !replaced ? last_answers_ - kServeAlone : last_answers_ - kLastAnswers - kMoveOn;
-    if (since >= std::max(kAcceptOn, served)) listener_.finish(true);
+    if (since >= std::max(kAcceptOn, served)) listener_.finish();
     if (since >= last_answers_) {
       engine_.expire_all();
       listener_.refuse_parts();
