Keep from its server what is not sent when its request ends, whatever is allowed

A request whose client left while its connection came up, or while its server took no bytes, was sent on as soon as that was over where the settings allow no cancelling: Engine::gone() and Engine::expire() left what was unwritten to the module, which cancels only where it may. A drain's end also called such a request failed (504) though it had never left, and could send it after its answer.

Found by review; shown by Crossing.AClientThatLeavesWhileItsConnectionComesUpIsNotSentOn (without the mend the connection goes on coming up) and ADrainsEndRefusesWhatHasNotBeenSent (504).

Now Engine::close() is the only way to a request's end and withdraws each attempt that is not written whole; what has been written whole is the module's to cancel, as before, also of uploads.

--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -86,7 +86,7 @@
   call.facts.arriving = call.forward->rest != nullptr;
   call.facts.time_left = limit - reserve(call) - now();
   client_ids_.insert(call.client_id);
-  auto& live = live_[id] = std::make_unique<Live>(io_, std::move(call), std::move(reply));
+  const auto live = live_[id] = std::make_shared<Live>(io_, std::move(call), std::move(reply));
   ++open_;
   if (!live->call.forward->rest) set_deadline(id, *live);
   post(live->call.facts);
@@ -103,7 +103,7 @@
 
 void Engine::body_came(std::uint64_t request) {
   const std::string id = std::to_string(request);
-  Live* live = find(id);
+  const std::shared_ptr<Live> live = find(id);
   if (live == nullptr || !live->reply) return;
   live->call.came_at = now();
   set_deadline(id, *live);
@@ -111,28 +111,21 @@
 
 void Engine::gone(std::uint64_t request) {
   const std::string id = std::to_string(request);
-  Live* live = find(id);
+  const std::shared_ptr<Live> live = find(id);
   if (live == nullptr || !live->reply) return;
-  live->reply = nullptr;
-  --open_;
-  live->deadline.cancel();
+  close(*live);
   post(qu::RequestGone{id});
-  // Without its client, a body that is still coming has no end: what waits for it is over, whatever is
-  // allowed.
-  if ((live = find(id)) != nullptr && live->call.forward->rest) {
-    const std::vector<Try> tries = live->tries;
-    for (const Try& attempt : tries) upstream_.stop(attempt.handle, qu::Outcome::kCancelled);
-  }
   forget_if_done(id);
 }
 
 // Guards against a module that has not ended a request in time: the client gets a final answer all the same.
 void Engine::expire(const std::string& id) {
-  Live* live = find(id);
+  const std::shared_ptr<Live> live = find(id);
   if (live == nullptr || !live->reply) return;
+  const Reply reply = close(*live);
   const bool may_have_run = std::any_of(live->tries.begin(), live->tries.end(),
                                         [](const Try& attempt) { return attempt.may_have_run; });
-  answer(*live, may_have_run ? Answer{504, 0, {}, {}, {}, {}, {}} : refusal());
+  reply(may_have_run ? Answer{504, 0, {}, {}, {}, {}, {}} : refusal());
   post(qu::RequestGone{id});
   forget_if_done(id);
 }
@@ -169,9 +162,20 @@
   post(update);
 }
 
-Engine::Live* Engine::find(const std::string& id) {
+std::shared_ptr<Engine::Live> Engine::find(const std::string& id) const {
   const auto it = live_.find(id);
-  return it == live_.end() ? nullptr : it->second.get();
+  return it == live_.end() ? nullptr : it->second;
+}
+
+// The only way to a request's end. What is not with a server by now stays here: not to send it is no cancel,
+// and needs no leave.
+Engine::Reply Engine::close(Live& live) {
+  Reply reply = std::exchange(live.reply, nullptr);
+  --open_;
+  live.deadline.cancel();
+  const std::vector<Try> tries = live.tries;
+  for (const Try& attempt : tries) upstream_.withdraw(attempt.handle);
+  return reply;
 }
 
 void Engine::forget_if_done(const std::string& id) {
@@ -184,31 +188,29 @@
   }
 }
 
-// The only way to a final answer; whatever comes second is dropped here.
+// Whatever comes second is dropped here.
 bool Engine::answer(Live& live, Answer&& answer) {
   if (!live.reply) return false;
-  const Reply reply = std::exchange(live.reply, nullptr);
-  --open_;
-  live.deadline.cancel();
+  const Reply reply = close(live);
   reply(std::move(answer));
   return true;
 }
 
 void Engine::ended(const std::string& id, int attempt, AttemptEnd&& end) {
-  Live* live = find(id);
+  const std::shared_ptr<Live> live = find(id);
   if (live == nullptr) return;
   Try& done = live->tries[static_cast<std::size_t>(attempt)];
   done.open = false;
   done.may_have_run = !never_ran(end.outcome);
+  const double asked_at = std::max(done.sent_at, end.asked_at);
   if (end.outcome == qu::Outcome::kDelivered) {
     answer(*live, {200, 0, std::move(end.body), std::move(end.content_type), std::move(end.claim), {}, {}});
   }
-  const double asked_at = std::max(done.sent_at, end.asked_at);
   post(qu::AttemptResult{id, attempt, end.outcome, now() - asked_at, !live->reply});
 }
 
 void Engine::begins(const std::string& id, int attempt, AnswerBegins&& begun) {
-  Live* live = find(id);
+  const std::shared_ptr<Live> live = find(id);
   if (live == nullptr || !live->reply) return begun.body->drop();
   const double asked_at = std::max(live->tries[static_cast<std::size_t>(attempt)].sent_at, begun.asked_at);
   answer(*live, {200, 0, {}, std::move(begun.content_type), {}, std::move(begun.body), begun.length});
@@ -216,7 +218,7 @@
 }
 
 void Engine::run(const qu::Send& action) {
-  Live* live = find(action.id);
+  const std::shared_ptr<Live> live = find(action.id);
   if (live == nullptr) return;
   const int attempt = static_cast<int>(live->tries.size());
   live->tries.push_back({{}, now(), true, true});
@@ -240,21 +242,21 @@
 }
 
 void Engine::run(const qu::Refuse& action) {
-  Live* live = find(action.id);
+  const std::shared_ptr<Live> live = find(action.id);
   if (live == nullptr) return;
   answer(*live, {503, action.retry_after, {}, {}, {}, {}, {}});
   forget_if_done(action.id);
 }
 
 void Engine::run(const qu::Fail& action) {
-  Live* live = find(action.id);
+  const std::shared_ptr<Live> live = find(action.id);
   if (live == nullptr) return;
   answer(*live, {502, 0, {}, {}, {}, {}, {}});
   forget_if_done(action.id);
 }
 
 void Engine::run(const qu::Cancel& action) {
-  Live* live = find(action.id);
+  const std::shared_ptr<Live> live = find(action.id);
   if (live == nullptr || action.attempt < 0) return;
   const auto attempt = static_cast<std::size_t>(action.attempt);
   if (attempt < live->tries.size()) upstream_.stop(live->tries[attempt].handle, qu::Outcome::kCancelled);
--- a/node/engine.h
+++ b/node/engine.h
@@ -98,7 +98,8 @@
   void run(const quinceusher::SetTimer& action);
   void run(const quinceusher::WatchMembers& action);
   void run(const quinceusher::LogLine& action);
-  Live* find(const std::string& id);
+  std::shared_ptr<Live> find(const std::string& id) const;
+  Reply close(Live& live);
   void ended(const std::string& id, int attempt, AttemptEnd&& end);
   void begins(const std::string& id, int attempt, AnswerBegins&& answer);
   void set_deadline(const std::string& id, Live& live);
@@ -111,7 +112,7 @@
   Upstream upstream_;
   std::function<void()> watch_;
   const Config& config_;
-  std::unordered_map<std::string, std::unique_ptr<Live>> live_;
+  std::unordered_map<std::string, std::shared_ptr<Live>> live_;
   std::unordered_set<std::string> client_ids_;  // of all that is in live_
   std::deque<quinceusher::Event> events_;
   bool running_ = false;
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -116,6 +116,11 @@
     if (serial == serial_ && watcher_.done) end(outcome, false);
   }
 
+  void withdraw(std::uint64_t serial) {
+    if (state == State::kConnecting || (state == State::kWriting && !answer_))
+      stop(serial, Outcome::kNotSent);
+  }
+
   Handle handle() { return {weak_from_this(), serial_}; }
 
   // Whether the server has closed it, or has said what nobody asked for, while it was parked.
@@ -473,6 +478,10 @@
   if (const auto connection = attempt.connection.lock()) connection->stop(attempt.serial, outcome);
 }
 
+void Upstream::withdraw(const Handle& attempt) {
+  if (const auto connection = attempt.connection.lock()) connection->withdraw(attempt.serial);
+}
+
 // The most recently used, so that the others can idle out. Guards against writing on a connection that the
 // server has closed or is about to close: what may not be repeated would be lost.
 // Where kept connections break under their next request all the same, as when something on the way forgets
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -73,6 +73,10 @@
   // Stops waiting for an attempt; it ends so unless it has ended.
   void stop(const Handle& attempt, quinceusher::Outcome outcome);
 
+  // Keeps an attempt from its server: ends it as not sent unless it has been written whole, or is being
+  // answered.
+  void withdraw(const Handle& attempt);
+
   // Takes over a list, or the changes in it. Servers that drain or are gone get nothing more: returns the
   // attempts that still wait for a connection to one, or to where one was before, to be stopped as not sent.
   std::vector<Handle> apply(const ServerList& list);
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,104 @@
+// The instants in which something ends while something is still owed. Each order is forced by events: a peer
+// that comes up late, takes no bytes, breaks off, or a node that is held still while both happen.
+#include <thread>
+#include <vector>
+
+#include "node_world.h"
+
+namespace nettlestand::testing {
+namespace {
+
+// A server whose connections do not come up before `open` has been called.
+struct LateServer {
+  LateServer() : peer(0), crowd(Wire::to(peer.port())) {}
+  int port() const { return peer.port(); }
+  Wire open() const {
+    peer.accept();
+    return peer.accept();
+  }
+  Peer peer;
+  Wire crowd;  // its queue has room for this one alone
+};
+
+// Nothing but the events of a test ends its requests.
+struct PatientWorld : World {
+  PatientWorld() {
+    connect_timeout = give_up = 600;
+    more = R"("management":"127.0.0.1:0",)";
+  }
+};
+
+void leave(Wire& client, bool reset) { reset ? client.reset() : client.close(); }
+
+constexpr const char* kClosesOrResets[] = {"closes", "resets"};
+
+// ---------------------------------------------------------------- a client that leaves
+
+TEST(Crossing, AClientThatLeavesWhileItsConnectionComesUpIsNotSentOn) {
+  for (const bool may_cancel : {false, true}) {
+    for (const bool reset : {false, true}) {
+      const LateServer late;
+      PatientWorld w;
+      w.may_cancel = may_cancel;
+      w.serve(host("s0", late.port()));
+      Wire caller = w.client();
+      caller.send(request("close"));
+      until([&] { return connecting_to(late.port()); });
+      leave(caller, reset);
+      until([&] { return !connecting_to(late.port()); });
+      EXPECT_EQ(w.figure("upstream_requests"), 0) << may_cancel << kClosesOrResets[reset];
+      EXPECT_EQ(w.figure("pending"), 0);
+    }
+  }
+}
+
+// What has been written whole is with its server: given up where that is allowed, and left alone where not.
+TEST(Crossing, WhatIsWithItsServerIsWithdrawnOnlyWhereThatIsAllowed) {
+  for (const bool may_cancel : {false, true}) {
+    PatientWorld w;
+    w.may_cancel = may_cancel;
+    w.serve(host("s0", w.servers[0].port()));
+    Wire caller = w.client();
+    caller.send(request("close"));
+    Wire server = w.servers[0].accept();
+    server.message();
+    caller.close();
+    until([&] { return w.figure("pending") == 0; });
+    if (may_cancel) {
+      EXPECT_TRUE(server.ended());
+      continue;
+    }
+    EXPECT_TRUE(server.quiet());
+    server.send(ok());  // its late answer is nobody's, and its connection serves the next
+    Wire next = w.client();
+    next.send(request("close", "", "next", "r2"));
+    Wire again = server.quiet(200) ? w.servers[0].accept() : std::move(server);
+    EXPECT_TRUE(has(again.message(), "\r\n\r\nnext"));
+    again.send(ok("own"));
+    EXPECT_TRUE(has(next.message(), "\r\n\r\nown"));
+  }
+}
+
+// ---------------------------------------------------------------- a request whose time is up
+
+// What never left is refused, with advice where that is allowed, and is not sent afterwards.
+TEST(Crossing, ADrainsEndRefusesWhatHasNotBeenSent) {
+  for (const bool may : {false, true}) {
+    const LateServer late;
+    PatientWorld w;
+    w.may_cancel = w.may_advise = may;
+    w.serve(host("s0", late.port()));
+    Wire caller = w.client();
+    caller.send(request("close"));
+    until([&] { return connecting_to(late.port()); });
+    w.node->signal(SIGTERM);
+    const std::string got = caller.message();
+    EXPECT_TRUE(has(got, "HTTP/1.1 503 ")) << got;
+    EXPECT_EQ(has(got, "Retry-After: "), may) << got;
+    EXPECT_FALSE(connecting_to(late.port()));
+    EXPECT_EQ(w.node->exit_code(), 0);
+  }
+}
+
+}  // namespace
+}  // namespace nettlestand::testing
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -257,6 +257,16 @@
   int port() { return port_after("listening on 127.0.0.1:"); }
   int operators_port() { return port_after("operators at 127.0.0.1:"); }
   void signal(int which) const { kill(child_, which); }
+  // Holds it still, so that what comes meanwhile is there all at once when it goes on.
+  void stop() const {
+    signal(SIGSTOP);
+    until([&] {
+      std::string state;
+      std::ifstream(folder() + "/stat").ignore(1000, ')') >> state;
+      return state == "T";
+    });
+  }
+  void go_on() const { signal(SIGCONT); }
   // Where the system lists what it holds open.
   std::string descriptors() const { return folder() + "/fd"; }
   std::string folder() const { return "/proc/" + std::to_string(child_); }
