Close no connection for its age over a request that has not been read yet

Seen in Crossing.AConnectionIsNotClosedOverARequestThatIsNotReadYet: 127 of 300 requests answered, now all.

--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -632,25 +632,27 @@
 }
 
 void Listener::sweep() {
-  const auto close_older = [](Order& order, double limit) {
-    while (!order.empty() && now() - order.front()->since() > limit) {
-      const std::shared_ptr<Connection> oldest = order.front();
-      oldest->close();
-    }
-  };
-  close_older(fresh_, kReadLimit);
-  close_older(idle_, kIdleLimit);
-  close_older(ending_, kEndingLimitS);
   const auto look_at = [](Order& order, const auto& look) {
     for (auto it = order.begin(); it != order.end();) {
       const std::shared_ptr<Connection> next = *it++;
-      look(*next);
+      if (!look(*next)) break;
     }
   };
+  const auto close_older = [&](Order& order, double limit, const auto& close) {
+    look_at(order, [&](Connection& connection) {
+      const bool old = now() - connection.since() > limit;
+      if (old) close(connection);
+      return old;
+    });
+  };
+  const auto if_idle = [](Connection& connection) { connection.close_if_idle(); };
+  close_older(fresh_, kReadLimit, if_idle);
+  close_older(idle_, kIdleLimit, if_idle);
+  close_older(ending_, kEndingLimitS, [](Connection& connection) { connection.close(); });
   for (Order* order : {&reading_, &uploading_}) {
-    look_at(*order, [](Connection& connection) { connection.close_if_slow(kReadLimit); });
+    look_at(*order, [](Connection& connection) { return connection.close_if_slow(kReadLimit), true; });
   }
-  look_at(writing_, [](Connection& connection) { connection.close_if_stuck(kWriteLimit); });
+  look_at(writing_, [](Connection& connection) { return connection.close_if_stuck(kWriteLimit), true; });
   sweep_.expires_after(kSweepPeriod);
   sweep_.async_wait([this](const error_code& error) {
     if (!error) sweep();
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -79,6 +79,25 @@
   }
 }
 
+// ---------------------------------------------------------------- a connection that is closed for its age
+
+// A busy moment: more has come than is read in one round, and it is time to close what has sent nothing.
+TEST(Crossing, AConnectionIsNotClosedOverARequestThatIsNotReadYet) {
+  PatientWorld w;
+  w.serve(host("s0", w.servers[0].port()));
+  std::vector<Wire> fresh;
+  for (int i = 0; i < 300; ++i) fresh.push_back(w.client());
+  w.health();  // behind them in the machine's queue: they have been taken
+  const double from = seconds();
+  w.node->stop();
+  until([&] { return seconds() - from > 2.6; });
+  for (Wire& client : fresh) client.send("GET /healthz HTTP/1.1\r\n\r\n");
+  w.node->go_on();
+  int answered = 0;
+  for (Wire& client : fresh) answered += static_cast<int>(has(client.message(), " 200 "));
+  EXPECT_EQ(answered, 300);
+}
+
 // ---------------------------------------------------------------- a request whose time is up
 
 // What never left is refused, with advice where that is allowed, and is not sent afterwards.
