Notice a client that leaves behind many early bytes of a next request

Connection::read() stopped waiting on the socket once the early bytes had reached 8 KiB, so that a client who leaves behind more of them did not show until its answer was written: its request was sent on when its connection came up at last, and held its server. Now all is read. A next request is kept as far as there may be one (64 KiB and a head) and memory to spare; what is more is thrown away, and the connection ends with the answer that is owed, which says so.

Found by review; Crossing.EarlyBytesOfANextRequestDoNotHideThatAClientLeaves failed without the mend for 20,000 and 500,000 bytes, for clients that close.

--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -21,8 +21,9 @@
 using boost::system::error_code;
 
 constexpr std::size_t kHeadLimit = 8 * 1024;   // bytes, of a request's head and of a chunk's
-constexpr std::size_t kEarlyLimit = 8 * 1024;  // bytes kept of a next request while one is being answered
-constexpr double kIdleLimit = 20;              // s without a request
+constexpr std::size_t kEarlyLimit = 8 * 1024;  // bytes kept of a next request while one is being answered,
+constexpr std::size_t kMostEarly = kHeadLimit + kWholeBody;  // and where there is memory to spare
+constexpr double kIdleLimit = 20;                            // s without a request
 // Clients may take 2 s for a head and send a body at 64 kB/s. Whoever sends nothing of use has 3 s in all.
 constexpr double kReadLimit = 2.4;            // s for a head, from the connection's start if it is its first
 constexpr double kBodyGrace = 0.7;            // s after the head, and then
@@ -59,7 +60,8 @@
 
 class Listener::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(Listener& listener, tcp::socket socket) : listener_(listener), socket_(std::move(socket)) {
+  Connection(Listener& listener, tcp::socket socket)
+      : listener_(listener), socket_(std::move(socket)), early_(listener.budget_) {
     ++listener_.count_;
   }
   ~Connection() { close(); }
@@ -190,7 +192,6 @@
 
   void read() {
     const bool early = busy(state_) && state_ != State::kUploading;
-    if (early && in_.size() >= kEarlyLimit) return;
     error_code error;
     const std::size_t got = socket_.read_some(asio::buffer(listener_.scratch_), error);
     if (error == asio::error::would_block) return wait_readable();
@@ -199,12 +200,29 @@
       if ((thrown_away_ += got) > kLargestBody) return close();
       return wait_readable();
     }
+    if (early) {
+      keep_early(got);
+      return wait_readable();
+    }
     in_.append(listener_.scratch_.data(), got);
-    if (early) return wait_readable();  // the next request's bytes are kept
     if (state_ != State::kReading && state_ != State::kUploading) begin_request();
     parse();
   }
 
+  // A next request's bytes are kept. Danger: with more than can be kept left unread, it does not show that
+  // the client leaves. So the rest is thrown away, and the connection ends with the answer that is owed.
+  void keep_early(std::size_t got) {
+    const std::size_t all = in_.size() + got;
+    overrun_ = overrun_ || all > kMostEarly ||
+               (all > kEarlyLimit && !early_.grow_to(all, listener_.budget_.size() / 2));
+    if (!overrun_) {
+      in_.append(listener_.scratch_.data(), got);
+    } else {
+      std::string().swap(in_);
+      early_.release();
+    }
+  }
+
   void begin_request() {
     began_at_ = now();
     head_at_ = paused_ = 0;
@@ -391,7 +409,8 @@
     status_ = final.status;
     chunked_ = final.rest && !final.length && chunks_;
     const bool until_closed = final.rest && !final.length && !chunks_;
-    close_after_ = close || uploading || until_closed || !keep_alive_ || listener_.finishing_ || full;
+    close_after_ =
+        close || uploading || until_closed || !keep_alive_ || listener_.finishing_ || full || overrun_;
     release();
     head_ = head_of(final, close_after_, chunked_);
     answer_ = std::move(final);
@@ -454,7 +473,8 @@
     head_.clear();
     answer_ = {};
     used_ = true;
-    if (close_after_ || listener_.finishing_) {
+    early_.release();
+    if (close_after_ || listener_.finishing_ || overrun_) {
       // Guards the answer: closing over unread bytes resets the connection and may take the answer with it.
       // So what still comes is thrown away for a while.
       error_code ignored;
@@ -510,7 +530,8 @@
   std::size_t head_bytes_ = 0, thrown_away_ = 0;
   std::string in_, head_;
   Answer answer_;
-  Claim claim_;
+  Claim claim_, early_;   // early: on what is kept of a next request
+  bool overrun_ = false;  // more of one has come than can be kept
   std::optional<Call> call_;
   std::optional<http::request_parser<PieceBody>> parser_;
 };
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -52,6 +52,46 @@
   }
 }
 
+TEST(Crossing, EarlyBytesOfANextRequestDoNotHideThatAClientLeaves) {
+  for (const std::size_t early : {std::size_t{100}, std::size_t{20000}, std::size_t{500000}}) {
+    for (const bool reset : {false, true}) {
+      const LateServer late;
+      PatientWorld w;
+      w.may_cancel = false;
+      w.serve(host("s0", late.port()));
+      Wire caller = w.client();
+      caller.send(request("close"));
+      until([&] { return connecting_to(late.port()); });
+      caller.push(std::string(early, 'x'));
+      leave(caller, reset);
+      until([&] { return !connecting_to(late.port()); });
+      EXPECT_EQ(w.figure("upstream_requests"), 0) << early << kClosesOrResets[reset];
+    }
+  }
+}
+
+// What is kept of a next request is served; what is more than can be kept ends the connection, with the
+// answer.
+TEST(Crossing, EarlyBytesAreKeptWhereTheyMayBeARequest) {
+  PatientWorld w;
+  w.serve(host("s0", w.servers[0].port()));
+  Wire caller = w.client();
+  caller.send(request("close", "", "one"));
+  Wire server = w.servers[0].accept();
+  server.message();
+  const std::string large(60000, 'y');
+  caller.send(request("close", "", large, "r2"));
+  server.send(ok("first"));
+  EXPECT_TRUE(has(caller.message(), "\r\n\r\nfirst"));
+  EXPECT_TRUE(server.message().ends_with("\r\n\r\n" + large));
+  EXPECT_EQ(caller.push(std::string(500000, 'x')), 500000U);
+  server.send(ok("second"));
+  const std::string last = caller.message();
+  EXPECT_TRUE(has(last, "Connection: close\r\n") && last.ends_with("second")) << last;
+  EXPECT_TRUE(caller.ended());
+  EXPECT_EQ(w.figure("upstream_requests"), 2);
+}
+
 // What has been written whole is with its server: given up where that is allowed, and left alone where not.
 TEST(Crossing, WhatIsWithItsServerIsWithdrawnOnlyWhereThatIsAllowed) {
   for (const bool may_cancel : {false, true}) {
