Ask whether the client is still there before its request goes to the module

What had waited unread, in the machine's queue of connections or behind a busy moment, was read together with its client's end, and the request was sent on before the end was seen; the same for an upload whose server takes no bytes, since its socket is not waited on meanwhile.

Found by review; three tests of Crossing failed without the mend: AClientThatLeavesBeforeItIsReadIsNotSentOn (both requests were sent), AnUploadWhoseClientHasLeftIsNotSentOnWhole (its last chunk arrived) and AnUploadThatIsHeldBackFreesItsServerWhenItsClientLeaves.

--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -1,5 +1,6 @@
 #include "node/listener.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -83,6 +84,12 @@
     return true;
   }
 
+  // Guards against sending on what nobody waits for: an upload that is held back is not read, and so does not
+  // show that its client has gone.
+  void close_if_left() {
+    if (paused_at_ > 0 && left()) close();
+  }
+
   // Ends it with an error where it has sent a part of a request and has had its time.
   bool close_if_slow(double limit) {
     if (now() - (used_ ? began_at_ : connected_at_) < limit || !behind()) return false;
@@ -177,6 +184,15 @@
     }
   }
 
+  // Whether the client has closed its connection, be it behind bytes that are not read yet.
+  bool left() {
+    char byte = 0;
+    const ssize_t got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got <= 0) return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    pollfd end{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&end, 1, 0) > 0;
+  }
+
   // One wait is out at any time, also while a request waits for its answer: only so is it noticed that a
   // client leaves.
   void wait_readable() {
@@ -296,6 +312,7 @@
 
   // The last byte of a body that passes has come.
   void uploaded() {
+    if (left()) return close();
     upload_->end(true);
     upload_.reset();
     parser_.reset();
@@ -371,6 +388,8 @@
       return turn_away(400, "a body where none belongs"), false;
     if (listener_.engine_.knows(call_->client_id)) return turn_away(409, "this Request-Id is open"), false;
     if (listener_.crowded()) return turn_away(503), false;
+    // It may have waited, in the machine's queue or behind a busy moment, for longer than its client did.
+    if (left()) return close(), false;
     if (upload_ && !length) {
       forward.head += "Transfer-Encoding: chunked\r\n";
       forward.chunked = true;
@@ -673,6 +692,7 @@
   for (Order* order : {&reading_, &uploading_}) {
     look_at(*order, [](Connection& connection) { return connection.close_if_slow(kReadLimit), true; });
   }
+  look_at(uploading_, [](Connection& connection) { return connection.close_if_left(), true; });
   look_at(writing_, [](Connection& connection) { return connection.close_if_stuck(kWriteLimit), true; });
   sweep_.expires_after(kSweepPeriod);
   sweep_.async_wait([this](const error_code& error) {
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -92,6 +92,88 @@
   EXPECT_EQ(w.figure("upstream_requests"), 2);
 }
 
+// The request waits in the machine's queue, or unread on a connection that is open.
+TEST(Crossing, AClientThatLeavesBeforeItIsReadIsNotSentOn) {
+  for (const bool kept : {false, true}) {
+    for (const std::size_t early : {std::size_t{0}, std::size_t{40000}}) {
+      PatientWorld w;
+      w.serve(host("s0", w.servers[0].port()));
+      Wire caller = w.client(), next = w.client();
+      if (kept) {
+        caller.send("GET /healthz HTTP/1.1\r\n\r\n");
+        caller.message();
+      }
+      w.node->stop();
+      if (!kept) caller = w.client();
+      caller.send(request("close", "", "question", "left") + std::string(early, 'x'));
+      caller.close();
+      next.send(request("close", "", "question", "there"));
+      w.node->go_on();
+      Wire server = w.servers[0].accept();
+      EXPECT_TRUE(has(server.message(), "Request-Id: there\r\n"));
+      server.send(ok());
+      EXPECT_TRUE(has(next.message(), " 200 "));
+      until([&] { return w.figure("pending") == 0; });
+      EXPECT_EQ(w.figure("upstream_requests"), 1) << kept << early;
+    }
+  }
+}
+
+// The chunks of an upload: as many as find room while nobody reads them.
+std::size_t fill(Wire& caller) {
+  const std::string piece = chunk(std::string(8000, 'u'));
+  std::size_t rest = 0;
+  for (std::size_t sent = piece.size(); sent == piece.size();) {
+    sent = caller.push(piece);
+    rest = piece.size() - sent;
+  }
+  return rest;
+}
+
+// Its server takes no bytes, so that its end waits unread behind what the client had still sent.
+TEST(Crossing, AnUploadWhoseClientHasLeftIsNotSentOnWhole) {
+  for (const bool may_cancel : {false, true}) {
+    PatientWorld w;
+    w.may_cancel = may_cancel;
+    w.serve(host("s0", w.servers[0].port()));
+    Wire caller = w.client();
+    caller.send(head("close") + "Transfer-Encoding: chunked\r\n\r\n");
+    const std::size_t rest = fill(caller);
+    Wire server = w.servers[0].accept();
+    std::string end = chunk(std::string(8000, 'u'));
+    end = end.substr(end.size() - rest) + "0\r\n\r\n";
+    while (!end.empty()) {
+      server.bytes(100000);
+      end.erase(0, caller.push(end));
+    }
+    w.node->stop();
+    caller.close();
+    w.node->go_on();
+    std::string all;
+    for (std::string more; !(more = server.bytes(100000)).empty();) all += more;
+    EXPECT_FALSE(all.ends_with("0\r\n\r\n")) << may_cancel;
+    until([&] { return w.figure("pending") == 0; });
+    EXPECT_EQ(w.figure("upstream_requests"), 0);
+  }
+}
+
+// It is noticed although nothing is read from it.
+TEST(Crossing, AnUploadThatIsHeldBackFreesItsServerWhenItsClientLeaves) {
+  for (const bool reset : {false, true}) {
+    const LateServer late;
+    PatientWorld w;
+    w.may_cancel = false;
+    w.serve(host("s0", late.port()));
+    Wire caller = w.client();
+    // More than the node takes, and little enough that the client's end comes in behind it.
+    caller.send(head("close") + "Content-Length: 1000000\r\n\r\n" + std::string(175000, 'u'));
+    until([&] { return connecting_to(late.port()); });
+    leave(caller, reset);
+    until([&] { return !connecting_to(late.port()); });
+    EXPECT_EQ(w.figure("upstream_requests"), 0) << kClosesOrResets[reset];
+  }
+}
+
 // What has been written whole is with its server: given up where that is allowed, and left alone where not.
 TEST(Crossing, WhatIsWithItsServerIsWithdrawnOnlyWhereThatIsAllowed) {
   for (const bool may_cancel : {false, true}) {
