--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -85,6 +85,7 @@
   EXPECT_TRUE(has(caller.message(), "\r\n\r\nfirst"));
   EXPECT_TRUE(server.message().ends_with("\r\n\r\n" + large));
   EXPECT_EQ(caller.push(std::string(500000, 'x')), 500000U);
+  until([&] { return all_read_from(caller.local_port()); });
   server.send(ok("second"));
   const std::string last = caller.message();
   EXPECT_TRUE(has(last, "Connection: close\r\n") && last.ends_with("second")) << last;
--- a/tests/node_world.h
+++ b/tests/node_world.h
@@ -1,11 +1,14 @@
 // The node's surroundings, scripted: its callers' messages, two servers and discovery.
 #pragma once
 
+#include <algorithm>
 #include <array>
+#include <cstdio>
 #include <fstream>
 #include <memory>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include "node_harness.h"
 
@@ -60,15 +63,38 @@
   return out;
 }
 
-// Whether a connection to this port is being opened.
-inline bool connecting_to(int port) {
-  std::ostringstream end;
-  end << std::hex << std::uppercase << port << " 02 ";  // SYN_SENT
+// A line of the system's table of connections: two ports, a state, and bytes that wait to be sent or read.
+struct TableLine {
+  unsigned local = 0, remote = 0, state = 0, unsent = 0, unread = 0;
+};
+
+inline std::vector<TableLine> connection_table() {
+  std::vector<TableLine> out;
   std::ifstream table("/proc/net/tcp");
   for (std::string line; std::getline(table, line);) {
-    if (has(line, ":" + end.str())) return true;
+    TableLine l;
+    if (std::sscanf(line.c_str(), "%*s %*x:%x %*x:%x %x %x:%x", &l.local, &l.remote, &l.state, &l.unsent,
+                    &l.unread) == 5) {
+      out.push_back(l);
+    }
   }
-  return false;
+  return out;
+}
+
+// Whether a connection to this port is being opened.
+inline bool connecting_to(int port) {
+  const auto opening = [=](const TableLine& l) { return l.remote == unsigned(port) && l.state == 2; };
+  const auto table = connection_table();
+  return std::any_of(table.begin(), table.end(), opening);
+}
+
+// Whether all that has been sent from this port has been read.
+inline bool all_read_from(int port) {
+  const auto waits = [=](const TableLine& l) {
+    return (l.local == unsigned(port) && l.unsent > 0) || (l.remote == unsigned(port) && l.unread > 0);
+  };
+  const auto table = connection_table();
+  return std::none_of(table.begin(), table.end(), waits);
 }
 
 // A node past tier 0, so that each request is sent on, with what the tests need to script its surroundings.
