Take lists by their brackets, and let silence count from whole lines and lists only

Discovery split a watch at line ends, so a list that came indented over many lines was "not valid JSON" at its first line: the node took it for broken, asked for the whole list, got it indented again, and never heard of a change (Crossing.ListsMayComeIndentedAndCutAnywhere: not ready in 15 s). And each byte put the watch's end off by 2.7 s, so one that drips in the middle of a line was never broken (AWatchThatDripsIsBroken: not in 15 s), while what it misses counts as told 6 s after it fell silent.

Now an object ends where its brackets close, in pieces cut anywhere; what can't become a list ends its watch at once, one that is cut or does not end leaves the last good list; only an empty line or a whole list is a sign of life.

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -23,9 +24,40 @@
 constexpr auto kConnectLimit = std::chrono::milliseconds(1500);
 constexpr auto kAnswerLimit = std::chrono::milliseconds(2200);   // calls wait 2 s in its queue at most
 constexpr auto kSilenceLimit = std::chrono::milliseconds(2700);  // its empty lines come every 2 s
-constexpr std::size_t kLongestLine = 1024 * 1024;                // bytes; some thousand servers
+constexpr std::size_t kLongestList = 1024 * 1024;                // bytes; some thousand servers
 constexpr double kFirstBackoff = 0.25, kMostBackoff = 1.5;       // s
 
+// Finds where one JSON object in a run of them ends, be it on one line or on many.
+class ObjectScan {
+ public:
+  enum class Seen { kNothing, kLineEnd, kEnd };
+
+  // Throws where no list can begin or go on so.
+  Seen take(char c) {
+    if (text_) {
+      if (c == '\n') throw std::runtime_error("a line ends within a text");
+      text_ = escaped_ || c != '"';
+      escaped_ = !escaped_ && c == '\\';
+      return Seen::kNothing;
+    }
+    const bool first = open_.empty();
+    if (c == '\n' && first) return Seen::kLineEnd;
+    if (c == ' ' || c == '\t' || c == '\r' || c == '\n') return Seen::kNothing;
+    if (first && c != '{') throw std::runtime_error("not a list");
+    if (c == '"') text_ = true;
+    if (c == '{' || c == '[') open_ += c == '{' ? '}' : ']';
+    if (c != '}' && c != ']') return Seen::kNothing;
+    if (open_.back() != c) throw std::runtime_error("a list that is not well nested");
+    open_.pop_back();
+    return open_.empty() ? Seen::kEnd : Seen::kNothing;
+  }
+  bool within() const { return !open_.empty(); }
+
+ private:
+  std::string open_;  // what closes those that are open
+  bool text_ = false, escaped_ = false;
+};
+
 }  // namespace
 
 class Discovery::Watch : public std::enable_shared_from_this<Watch> {
@@ -45,6 +77,7 @@
     stream_.expires_after(kConnectLimit);
     stream_.async_connect(owner_.address_, [self = shared_from_this()](const error_code& error) {
       if (error) return self->fail("connect: " + error.message());
+      self->stream_.expires_after(kAnswerLimit);
       self->ask();
     });
   }
@@ -56,7 +89,6 @@
 
  private:
   void ask() {
-    stream_.expires_after(kAnswerLimit);
     http::async_write(stream_, request_, [self = shared_from_this()](const error_code& error, std::size_t) {
       if (error) return self->fail("write: " + error.message());
       self->await_answer();
@@ -70,40 +102,43 @@
                               const unsigned status = self->parser_.get().result_int();
                               if (status != 200)
                                 return self->fail("answer: status " + std::to_string(status));
-                              self->take_lines();
+                              self->heard();
+                              self->take_lists();
                             });
   }
 
   // Guards against a watch that is silent but up: without its empty lines for so long it counts as broken.
+  // Bytes that make no line and no list are no news.
+  void heard() { stream_.expires_after(kSilenceLimit); }
+
   void read() {
-    stream_.expires_after(kSilenceLimit);
     http::async_read_some(stream_, buffer_, parser_,
                           [self = shared_from_this()](const error_code& error, std::size_t) {
                             if (error) return self->fail("watch: " + error.message());
-                            self->take_lines();
+                            self->take_lists();
                           });
   }
 
-  // What is cut in the middle of a line is dropped with its connection; only whole lines count.
-  void take_lines() {
+  // What is cut in the middle of a list is dropped with its connection; only whole ones count.
+  void take_lists() {
     std::string& body = parser_.get().body();
-    lines_.append(body);
-    body.clear();
-    std::size_t from = 0;
-    for (std::size_t end; !closed_ && (end = lines_.find('\n', from)) != std::string::npos; from = end + 1) {
-      const std::string_view line(lines_.data() + from, end - from);
-      if (line.find_first_not_of(" \t\r") == std::string_view::npos) continue;
-      // Guards against a list that can't be read or taken over: it must not leave this watch without a wait.
-      try {
-        owner_.came(this, read_list(line, owner_.config_.zones));
-      } catch (const std::exception& problem) {
-        owner_.seq_.reset();  // the whole list next time, or the same line would come for ever
-        return fail(std::string("watch: ") + problem.what());
+    const std::string came = std::exchange(body, {});
+    // Guards against a list that can't be read or taken over: it must not leave this watch without a wait.
+    try {
+      for (std::size_t at = 0; at < came.size() && !closed_; ++at) {
+        const ObjectScan::Seen seen = scan_.take(came[at]);
+        if (scan_.within() || seen == ObjectScan::Seen::kEnd) list_ += came[at];
+        if (seen == ObjectScan::Seen::kEnd) {
+          owner_.came(this, read_list(std::exchange(list_, {}), owner_.config_.zones));
+        }
+        if (seen == ObjectScan::Seen::kEnd || seen == ObjectScan::Seen::kLineEnd) heard();
       }
+    } catch (const std::exception& problem) {
+      owner_.seq_.reset();  // the whole list next time, or the same one would come for ever
+      return fail(std::string("watch: ") + problem.what());
     }
     if (closed_) return;
-    lines_.erase(0, from);
-    if (lines_.size() > kLongestLine) return fail("watch: a line too long");
+    if (list_.size() > kLongestList) return fail("watch: a list too long");
     if (parser_.is_done()) return fail("watch: ended");
     read();
   }
@@ -119,7 +154,8 @@
   beast::flat_buffer buffer_;
   http::request<http::empty_body> request_;
   http::response_parser<http::string_body> parser_;
-  std::string lines_;
+  ObjectScan scan_;
+  std::string list_;  // as far as it has come
   bool closed_ = false;
 };
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -221,6 +221,90 @@
   EXPECT_EQ(answered, 300);
 }
 
+// ---------------------------------------------------------------- a list that ends, drips or never comes
+
+// The same list, laid out over many lines.
+std::string indented(const std::string& line) {
+  std::string out;
+  for (const char c : line) {
+    out += c;
+    if (c == '{' || c == '[' || c == ',') out += "\r\n    ";
+  }
+  return out;
+}
+
+// Asks until an answer comes from the server that is meant.
+void served_by(World& w, Wire& caller, const Peer& peer) {
+  until([&] {
+    caller.send(request("close"));
+    until([&] { return !caller.quiet() || !w.servers[0].quiet() || !w.servers[1].quiet(); });
+    if (!caller.quiet()) return caller.message().empty();  // refused: none is there
+    Wire server = w.next();
+    while (server.message().empty()) server = w.next();  // one that a change of the list has stopped
+    server.send(with_length("HTTP/1.1 200 OK\r\nConnection: close\r\n", "answer"));
+    caller.message();
+    return server.local_port() == peer.port();
+  });
+}
+
+TEST(Crossing, ListsMayComeIndentedAndCutAnywhere) {
+  for (const std::size_t piece : {std::size_t{1}, std::size_t{7}, std::size_t{100000}}) {
+    PatientWorld w;
+    w.start();
+    w.take_watch();
+    const auto tell = [&](const std::string& text) {
+      for (std::size_t at = 0; at < text.size(); at += piece) w.tell(text.substr(at, piece));
+    };
+    std::string odd = host("s}]\\\"", w.servers[1].port(), "leaving");  // brackets in a text are none
+    tell(indented(list(7, true, host("s0", w.servers[0].port()) + "," + odd)) + "\n");
+    w.await_ready();
+    Wire caller = w.client();
+    served_by(w, caller, w.servers[0]);
+    EXPECT_EQ(w.figure("members"), 2);
+    tell(indented(list(8, false, host("s1", w.servers[1].port()))) +
+         indented(list(9, false, host("s0", w.servers[0].port(), "leaving"))));
+    served_by(w, caller, w.servers[1]);
+    // Cut in the middle, the last good one holds.
+    const std::string cut = indented(list(10, true, host("s0", w.servers[0].port())));
+    tell(cut.substr(0, cut.size() - 5));
+    w.watch.close();
+    EXPECT_TRUE(has(w.take_watch(), "stream=1&index=9 "));
+    served_by(w, caller, w.servers[1]);
+  }
+}
+
+// What can never become a list ends its watch, and the whole list is asked for.
+TEST(Crossing, ListsThatCanNotBeReadEndTheirWatch) {
+  PatientWorld w;
+  w.serve(host("s0", w.servers[0].port()));
+  for (const std::string spoilt : {R"({"seq":8,"hosts":[})",
+                                   R"({"seq":8,"ho)"
+                                   "\n",
+                                   "]", "seq", R"({"seq":8})"}) {
+    w.tell(spoilt);
+    EXPECT_TRUE(w.watch.ended()) << spoilt;
+    EXPECT_TRUE(has(w.take_watch(), "GET /v1/servers?stream=1 HTTP/1.1\r\n")) << spoilt;
+    w.tell(list(7, true, host("s0", w.servers[0].port())));
+  }
+  Wire caller = w.client();
+  served_by(w, caller, w.servers[0]);
+}
+
+// Bytes that make no line and no list are no sign of life.
+TEST(Crossing, AWatchThatDripsIsBroken) {
+  for (const std::string begins : {"", "{\"seq\":8,"}) {
+    PatientWorld w;
+    w.serve(host("s0", w.servers[0].port()));
+    w.tell(begins + " ");
+    until([&] {
+      w.tell(begins.empty() ? " " : "\n");
+      return !w.watch.quiet(50);
+    });
+    EXPECT_TRUE(w.watch.ended());
+    EXPECT_TRUE(has(w.take_watch(), "stream=1&index=7 "));
+  }
+}
+
 // ---------------------------------------------------------------- a request whose time is up
 
 // What never left is refused, with advice where that is allowed, and is not sent afterwards.
