Ask a silent agent again within 0.1 s where lists are pushed

What the agent gets at discovery's return counts as told at once, and sends must stop 0.3 s later. The wait between two tries had grown to 0.75 to 1.5 s by the fourth: a return that fell into it was heard too late. Where lists are pushed the agent answers at once and at no cost, so a try now ends after 1 s without an answer and the next follows 0.05 to 0.1 s later, also after SIGHUP. Where discovery has to be asked nothing changes: many nodes that ask often would jam it.

--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -23,9 +23,14 @@
 // third.
 constexpr auto kConnectLimit = std::chrono::milliseconds(1500);
 constexpr auto kAnswerLimit = std::chrono::milliseconds(2200);   // calls wait 2 s in its queue at most
+constexpr auto kAgentLimit = std::chrono::milliseconds(1000);    // for both, where it answers at once
 constexpr auto kSilenceLimit = std::chrono::milliseconds(2700);  // its empty lines come every 2 s
 constexpr std::size_t kLongestList = 1024 * 1024;                // bytes; some thousand servers
 constexpr double kFirstBackoff = 0.25, kMostBackoff = 1.5;       // s
+// Where lists are pushed, what the agent gets at its return counts as told at once, and it is asked at no
+// cost: the wait between two tries stays well under the time in which sends to a server that drains must
+// stop.
+constexpr double kAgentBackoff = 0.1;  // s
 
 // Finds where one JSON object in a run of them ends, be it on one line or on many.
 class ObjectScan {
@@ -74,10 +79,11 @@
     request_.version(11);
     request_.set(http::field::host,
                  owner_.address_.address().to_string() + ":" + std::to_string(owner_.address_.port()));
-    stream_.expires_after(kConnectLimit);
-    stream_.async_connect(owner_.address_, [self = shared_from_this()](const error_code& error) {
+    const bool pushed = !owner_.config_.settings.must_watch;
+    stream_.expires_after(pushed ? kAgentLimit : kConnectLimit);
+    stream_.async_connect(owner_.address_, [self = shared_from_this(), pushed](const error_code& error) {
       if (error) return self->fail("connect: " + error.message());
-      self->stream_.expires_after(kAnswerLimit);
+      if (!pushed) self->stream_.expires_after(kAnswerLimit);
       self->ask();
     });
   }
@@ -199,6 +205,7 @@
 // Jittered: all nodes lose it at once and must not come back at once.
 void Discovery::retry(std::function<void()> what) {
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
+  if (!config_.settings.must_watch) backoff_ = kAgentBackoff;
   again_.expires_after(std::chrono::milliseconds(
       static_cast<int>(1000 * backoff_ * std::uniform_real_distribution<>(0.5, 1.0)(random_))));
   again_.async_wait([what = std::move(what)](const error_code& error) {
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -305,6 +305,26 @@
   }
 }
 
+// Where lists are pushed, what comes at discovery's return counts as told at once: it is always being asked.
+TEST(Crossing, ASilentAgentIsAskedAgainAtOnce) {
+  PatientWorld w;
+  w.asks = false;
+  w.serve(host("s0", w.servers[0].port()));
+  double gaps = 0;
+  Wire silent = std::move(w.watch);
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_TRUE(silent.ended());
+    const double from = seconds();
+    silent = w.discovery.accept();
+    gaps += seconds() - from;
+    EXPECT_TRUE(has(silent.message(), "stream=1&index=7 "));
+  }
+  EXPECT_LT(gaps, 2) << "half a second, and what a busy machine adds";
+  silent.send(kWatchHead + chunk(list(8, true, host("s1", w.servers[1].port()))));
+  Wire caller = w.client();
+  served_by(w, caller, w.servers[1]);
+}
+
 // ---------------------------------------------------------------- a request whose time is up
 
 // What never left is refused, with advice where that is allowed, and is not sent afterwards.
