Send nothing before the list has been heard or has had its time

A new process begins with the list it last had, which may be old, while what its agent has counts as told from its first moment. It sent requests from the start, and took a first try that failed (503, refused, reset) for having asked: it was ready at once, and sent to servers that had begun to drain long since. Clients come before it is ready where the front has not noticed a restart. Now a failed try is no answer, and requests that come before the list, or before the second that it has, are refused with advice to come back.

By review; Crossing.ANewProcessSendsNothingBeforeItHasHeardOfTheServers failed without the mend (the server that leaves got the request).

--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -156,7 +156,6 @@
 }
 
 void Engine::watch_failed() {
-  asked_ = true;
   qu::MembershipUpdate update;
   update.form = qu::MembershipUpdate::Form::kFailed;
   post(update);
--- a/node/engine.h
+++ b/node/engine.h
@@ -67,8 +67,11 @@
   void list_came(const ServerList& list);
   void watch_failed();
 
-  // Whether requests can be served: there is a server to send to, and discovery has been heard or asked.
+  // Whether requests can be served: there is a server to send to, and discovery has been heard, or has had
+  // its time.
   bool ready() const { return asked_ && servers_known_; }
+  // Until then what this process knows of the servers may be older than what it counts as told.
+  bool may_send() const { return asked_; }
   std::size_t open() const { return open_; }
   void set_most_upstream_sockets(std::size_t sockets) { upstream_.set_most(sockets); }
   // What the module makes of its list now.
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -387,7 +387,7 @@
     if (head.method() != http::verb::post && !body.empty())
       return turn_away(400, "a body where none belongs"), false;
     if (listener_.engine_.knows(call_->client_id)) return turn_away(409, "this Request-Id is open"), false;
-    if (listener_.crowded()) return turn_away(503), false;
+    if (listener_.crowded() || !listener_.engine_.may_send()) return turn_away(503), false;
     // It may have waited, in the machine's queue or behind a busy moment, for longer than its client did.
     if (left()) return close(), false;
     if (upload_ && !length) {
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -325,6 +325,27 @@
   served_by(w, caller, w.servers[1]);
 }
 
+// What a new process knows from before may be old, and what its agent has counts as told from its start.
+TEST(Crossing, ANewProcessSendsNothingBeforeItHasHeardOfTheServers) {
+  PatientWorld w;
+  std::string known = list(3, true, host("s0", w.servers[0].port()));
+  known.pop_back();
+  w.known = "\"known\":" + known + ",";
+  w.start();
+  w.discovery.accept().send(with_length("HTTP/1.1 503 Busy\r\n", ""));
+  w.node->log("the last list is kept");
+  Wire caller = w.client();
+  caller.send(request("close"));
+  EXPECT_TRUE(has(caller.message(), "HTTP/1.1 503 "));
+  EXPECT_TRUE(has(w.health(), "HTTP/1.1 503 "));
+  w.take_watch();
+  w.tell(list(4, false, host("s0", w.servers[0].port(), "leaving") + "," + host("s1", w.servers[1].port())));
+  w.await_ready();
+  Wire next = w.client();
+  served_by(w, next, w.servers[1]);
+  EXPECT_TRUE(w.servers[0].quiet());
+}
+
 // ---------------------------------------------------------------- a request whose time is up
 
 // What never left is refused, with advice where that is allowed, and is not sent afterwards.
