Write no repeat to a server after the time in which it drops repeats

The module sends a keyed request again only within its window, but what it sends may wait: its connection comes up late, or its server takes no bytes. Written after the window, the repeat runs as a new request. Impl::in_scope() judged the moment of the decision alone. Now Send carries write_within, what is left of the window since the first attempt that may have run (window_left), and the connection ends as not sent what it could not write whole by then.

--- a/include/quinceusher/balancer.h
+++ b/include/quinceusher/balancer.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -162,6 +163,8 @@
   std::string id;
   std::string server;
   double timeout = 0;
+  // Not to be written later than this: then its server may have forgotten what it is a repeat of.
+  double write_within = std::numeric_limits<double>::infinity();
 };
 
 // Final answer: turned away; trying again is harmless.
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -230,7 +230,7 @@
     return ended(action.id, attempt, {qu::Outcome::kNotSent, {}, {}, {}, 0});
   }
   Upstream::Handle handle = upstream_.start(
-      action.server, forward, action.timeout,
+      action.server, forward, action.timeout, action.write_within,
       {[this, id = action.id, attempt](AttemptEnd&& end) { ended(id, attempt, std::move(end)); },
        [this, id = action.id, attempt](AnswerBegins&& begun) { begins(id, attempt, std::move(begun)); },
        [this, id = action.id] { post(qu::BodyGone{id}); },
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -55,13 +55,15 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void begin(std::uint64_t serial, std::shared_ptr<Forward> request, double timeout, Watcher watcher) {
+  void begin(std::uint64_t serial, std::shared_ptr<Forward> request, double timeout, double write_within,
+             Watcher watcher) {
     serial_ = serial;
     request_ = std::move(request);
     began_ = now();
     idle_ = state == State::kParked ? began_ - parked_at : 0;
     timeout_ = timeout;
     give_up_at_ = began_ + timeout;
+    write_by_ = began_ + write_within;
     watcher_ = std::move(watcher);
     fresh_parser();
     interim_ = 0;
@@ -77,7 +79,7 @@
     if (error) return end(Outcome::kNotSent, false);  // no descriptor left: nothing to do with the server
     socket_.set_option(tcp::no_delay(true), error);
     socket_.non_blocking(true, error);
-    arm_timer(std::min(give_up_at_, now() + pool_.connect_timeout_));
+    arm_timer(std::min({give_up_at_, write_by_, now() + pool_.connect_timeout_}));
     socket_.async_connect(to, [self = shared_from_this()](const error_code& failed) {
       if (self->state != State::kConnecting) return;
       if (Server* known = self->pool_.find(self->server)) known->connecting.erase(self);
@@ -89,7 +91,7 @@
   void start_writing() {
     state = State::kWriting;
     progress_at_ = now();
-    arm_timer(give_up_at_);
+    arm_timer(std::min(give_up_at_, write_by_));
     const double left = std::floor((give_up_at_ - now()) * 1000);
     out_ = request_->head;
     out_ +=
@@ -202,6 +204,7 @@
 
   // Guards against taking a sent request for one that never ran: only bytes still here prove it.
   void expire() {
+    if (state != State::kReading && now() >= write_by_) return end(Outcome::kNotSent, false);
     if (state == State::kConnecting && now() < give_up_at_) return end(Outcome::kDialFailed, false);
     if (!answer_ && hold_until_ > 0 && now() >= hold_until_) pass_on();
     if (now() < deadline()) return arm_timer(deadline());
@@ -218,6 +221,7 @@
         const std::array<asio::const_buffer, 2> parts = {
             written_ < head ? asio::buffer(out_) + written_ : asio::const_buffer(),
             asio::buffer(kept_.data(), kept_.size()) + (written_ > head ? written_ - head : 0)};
+        if (now() >= write_by_) return end(Outcome::kNotSent, false);
         error_code error;
         written_ += socket_.write_some(parts, error);
         if (error == asio::error::would_block) return wait_writable();
@@ -427,7 +431,7 @@
   std::uint64_t serial_ = 0;
   std::shared_ptr<Forward> request_;
   std::shared_ptr<Stream> answer_;  // its body, once it passes as it comes
-  double began_ = 0, idle_ = 0, timeout_ = 0, give_up_at_ = 0;
+  double began_ = 0, idle_ = 0, timeout_ = 0, give_up_at_ = 0, write_by_ = 0;
   double asked_at_ = 0, progress_at_ = 0, hold_until_ = 0;
   Watcher watcher_;
   std::optional<http::response_parser<PieceBody>> parser_;
@@ -451,15 +455,15 @@
 }
 
 Upstream::Handle Upstream::start(const std::string& server, std::shared_ptr<Forward> request, double timeout,
-                                 Watcher watcher) {
+                                 double write_within, Watcher watcher) {
   Server* known = find(server);
-  if (known == nullptr || timeout <= 0) {
+  if (known == nullptr || timeout <= 0 || write_within <= 0) {
     watcher.done({Outcome::kNotSent, {}, {}, {}, 0});
     return {};
   }
   const std::uint64_t serial = ++serial_;
   if (const std::shared_ptr<Connection> old = reuse(*known)) {
-    old->begin(serial, std::move(request), timeout, std::move(watcher));
+    old->begin(serial, std::move(request), timeout, write_within, std::move(watcher));
     old->start_writing();
     return {old, serial};
   }
@@ -468,7 +472,7 @@
     return {};
   }
   const auto fresh = std::make_shared<Connection>(*this, server, known->generation);
-  fresh->begin(serial, std::move(request), timeout, std::move(watcher));
+  fresh->begin(serial, std::move(request), timeout, write_within, std::move(watcher));
   known->connecting.insert(fresh);
   fresh->connect(known->dial);
   return {fresh, serial};
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -68,7 +68,9 @@
            std::size_t most_sockets);
 
   // Starts an attempt. Its end may come before this returns. The timeout counts from when the request is out.
-  Handle start(const std::string& server, std::shared_ptr<Forward> request, double timeout, Watcher watcher);
+  // What is not written whole by `write_within` ends as not sent.
+  Handle start(const std::string& server, std::shared_ptr<Forward> request, double timeout,
+               double write_within, Watcher watcher);
 
   // Stops waiting for an attempt; it ends so unless it has ended.
   void stop(const Handle& attempt, quinceusher::Outcome outcome);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -396,7 +396,7 @@
     if (warmth(s) < 1) s.cold_tokens -= 1;
     p.attempts.push_back({*server, s.order, s.told.zone, s.told.cell, now_});
     if (!p.arriving) enter(p.attempts.back());
-    out_->push_back(Send{id, s.told.address, limit});
+    out_->push_back(Send{id, s.told.address, limit, window_left(p, settings_.classes, now_)});
     return true;
   }
 
--- a/src/support.h
+++ b/src/support.h
@@ -180,4 +180,14 @@
   }
 };
 
+// How long the last attempt may still come to a server that drops repeats of those before it.
+inline double window_left(const Pending& p, const std::vector<RequestClass>& classes, double now) {
+  const RequestClass& c = classes[p.request_class];
+  double left = std::numeric_limits<double>::infinity();
+  for (std::size_t i = 0; c.effect == Effect::kKeyed && i + 1 < p.attempts.size(); ++i) {
+    if (p.attempts[i].may_have_run) left = std::min(left, p.attempts[i].sent + c.dedup_window - now);
+  }
+  return left;
+}
+
 }  // namespace quinceusher
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -346,6 +346,30 @@
   EXPECT_TRUE(w.servers[0].quiet());
 }
 
+// ---------------------------------------------------------------- a repeat
+
+// Its server would take it for a new one: it has forgotten the first by then.
+TEST(Crossing, ARepeatWhoseConnectionComesUpAfterItsWindowIsNotSent) {
+  const LateServer late;
+  PatientWorld w;
+  w.dedup_window = 0.5;
+  const std::string first = host("s0", w.servers[0].port());
+  w.serve(first);
+  Wire caller = w.client();
+  caller.send(request("mark"));
+  Wire server = w.servers[0].accept();
+  server.message();
+  const double from = seconds();
+  w.tell(list(8, true, first + "," + host("s1", late.port())));
+  until([&] { return w.figure("members") == 2; });
+  server.reset();
+  until([&] { return connecting_to(late.port()) || !caller.quiet(); });
+  until([&] { return seconds() - from > w.dedup_window; });
+  late.peer.accept();
+  EXPECT_TRUE(has(caller.message(), "HTTP/1.1 502 ")) << "the first may have run";
+  EXPECT_EQ(w.figure("upstream_requests"), 1);
+}
+
 // ---------------------------------------------------------------- a request whose time is up
 
 // What never left is refused, with advice where that is allowed, and is not sent afterwards.
--- a/tests/node_world.h
+++ b/tests/node_world.h
@@ -105,7 +105,7 @@
   int sockets = 1024, memory_mb = 64, port = 0;
   std::string known, more;  // further fields of the configuration
   bool may_cancel = true, may_advise = true, asks = true;
-  double give_up = 5;
+  double give_up = 5, dedup_window = 4;
   std::unique_ptr<Program> node;
   Wire watch;
 
@@ -120,7 +120,7 @@
         << connect_timeout << R"(,"idleClose":)" << idle_close << "},"
         << R"("realms":[{"name":"acme","allowancePerS":1000}],"rules":{"askWithin":0.4},"categories":[)"
         << R"({"name":"mark","aim":2,"giveUp":)" << give_up
-        << R"(,"lateWorth":0.5,"effect":"keyed","group":"cell","dedupWindow":4},)"
+        << R"(,"lateWorth":0.5,"effect":"keyed","group":"cell","dedupWindow":)" << dedup_window << R"(},)"
         << R"({"name":"close","aim":2,"giveUp":)" << give_up << R"(,"lateWorth":0.5,"effect":"unsafe"}]}})";
     return out.str();
   }
