--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -391,5 +391,36 @@
   }
 }
 
+// A request that comes in the middle of the drain, and one whose last byte comes when the last answers are
+// due.
+TEST(Crossing, ASecondSigtermChangesNothingAndLateRequestsAreAnswered) {
+  PatientWorld w;
+  w.serve(host("s0", w.servers[0].port()));
+  Wire early = w.client(), late = w.client();
+  early.send(request("close", "", "question", "early"));
+  Wire server = w.servers[0].accept();
+  server.message();
+  w.node->signal(SIGTERM);
+  w.node->log("draining");
+  const double from = seconds();
+  w.node->signal(SIGTERM);
+  server.send(ok());
+  EXPECT_TRUE(has(early.message(), " 200 "));
+  early.send(request("close", "", "question", "again"));
+  EXPECT_TRUE(has(server.message(), "Request-Id: again\r\n"));
+  const std::string text = request("close", "", "question", "late");
+  late.send("GET /healthz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(has(late.message(), "HTTP/1.1 503 "));
+  until([&] { return seconds() - from > 2.9; });
+  late.send(text.substr(0, text.size() - 1));
+  until([&] { return seconds() - from > 3.2; });
+  late.send(text.substr(text.size() - 1));
+  for (Wire* caller : {&early, &late}) {
+    EXPECT_TRUE(has(caller->message(), "HTTP/1.1 50"));
+    EXPECT_TRUE(caller->ended());
+  }
+  EXPECT_EQ(w.node->exit_code(), 0);
+}
+
 }  // namespace
 }  // namespace nettlestand::testing
