--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -172,8 +172,10 @@
   Reply reply = std::exchange(live.reply, nullptr);
   --open_;
   live.deadline.cancel();
-  const std::vector<Try> tries = live.tries;
-  for (const Try& attempt : tries) upstream_.withdraw(attempt.handle);
+  for (std::size_t i = 0; i < live.tries.size(); ++i) {  // their ends may come here meanwhile
+    const Upstream::Handle attempt = live.tries[i].handle;
+    if (live.tries[i].open) upstream_.withdraw(attempt);
+  }
   return reply;
 }
 
