--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -346,6 +346,83 @@
   EXPECT_TRUE(w.servers[0].quiet());
 }
 
+// ---------------------------------------------------------------- both ends at once
+
+// The answer and the client's end are there together, in either order, and again where it is the server that
+// ends.
+TEST(Crossing, AnAnswerThatCrossesItsClientsEndIsNobodysAndDoesNoHarm) {
+  for (const bool answer_first : {false, true}) {
+    for (const bool reset : {false, true}) {
+      PatientWorld w;
+      w.serve(host("s0", w.servers[0].port()));
+      Wire caller = w.client();
+      caller.send(request("close"));
+      Wire server = w.servers[0].accept();
+      server.message();
+      w.node->stop();
+      if (answer_first) server.send(ok("stray"));
+      leave(caller, reset);
+      if (!answer_first) server.send(ok("stray"));
+      w.node->go_on();
+      until([&] { return w.figure("pending") == 0; });
+      Wire next = w.client();
+      next.send(request("close", "", "next"));
+      until([&] { return !server.quiet() || !w.servers[0].quiet(); });
+      std::string got = server.quiet() ? "" : server.message();
+      if (got.empty()) {
+        server = w.servers[0].accept();
+        got = server.message();
+      }
+      EXPECT_TRUE(got.ends_with("\r\n\r\nnext")) << got;
+      server.send(ok("own"));
+      EXPECT_TRUE(has(next.message(), "\r\n\r\nown"));
+    }
+  }
+}
+
+// A kept connection ends while its next request is on its way to the node.
+TEST(Crossing, AKeptConnectionThatEndsAsItsNextRequestComesIsNotUsed) {
+  for (const bool reset : {false, true}) {
+    PatientWorld w;
+    w.serve(host("s0", w.servers[0].port()));
+    Wire caller = w.client();
+    caller.send(request("close"));
+    Wire server = w.servers[0].accept();
+    server.message();
+    server.send(ok());
+    EXPECT_TRUE(has(caller.message(), " 200 "));
+    w.node->stop();
+    caller.send(request("close", "", "next"));  // is read first
+    leave(server, reset);
+    w.node->go_on();
+    Wire fresh = w.servers[0].accept();
+    EXPECT_TRUE(fresh.message().ends_with("\r\n\r\nnext"));
+    fresh.send(ok());
+    EXPECT_TRUE(has(caller.message(), " 200 "));
+    EXPECT_EQ(w.figure("upstream_requests"), 2);
+  }
+}
+
+// What a server has begun to get before the node is told that it leaves comes to its end there.
+TEST(Crossing, AnUploadThatHasBegunOutlivesTheWordThatItsServerLeaves) {
+  PatientWorld w;
+  w.serve(host("s0", w.servers[0].port()));
+  Wire caller = w.client();
+  const std::string body(300000, 'u');
+  caller.send(head("close") + "Content-Length: 300000\r\n\r\n" + body.substr(0, 200000));
+  Wire server = w.servers[0].accept();
+  server.up_to("\r\n\r\n");
+  EXPECT_EQ(server.bytes(200000).size(), 200000U);
+  w.tell(list(8, false, host("s0", w.servers[0].port(), "leaving")));
+  until([&] { return w.figure("members_unavailable") == 1; });
+  caller.send(body.substr(200000));
+  EXPECT_EQ(server.bytes(100000).size(), 100000U);
+  server.send(ok());
+  EXPECT_TRUE(has(caller.message(), " 200 "));
+  caller.send(request("close", "", "next", "r2"));
+  EXPECT_TRUE(has(caller.message(), "HTTP/1.1 503 ")) << "and nothing new goes there";
+}
+
 // ---------------------------------------------------------------- a repeat
 
 // Its server would take it for a new one: it has forgotten the first by then.
