--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -325,6 +325,28 @@
   served_by(w, caller, w.servers[1]);
 }
 
+// A new configuration amid a silence: the old watch says nothing more, and the new address is silent at
+// first.
+TEST(Crossing, AMoveAmidASilenceIsFollowed) {
+  for (const bool asks : {false, true}) {
+    PatientWorld w;
+    w.asks = asks;
+    w.serve(host("s0", w.servers[0].port()));
+    const Peer elsewhere;
+    w.node->reload(moved(w, elsewhere));
+    Wire silent = elsewhere.accept();
+    EXPECT_TRUE(has(silent.message(), "GET /v1/servers?stream=1 HTTP/1.1\r\n"));
+    EXPECT_TRUE(silent.ended());
+    Wire next = elsewhere.accept();
+    EXPECT_TRUE(has(next.message(), "GET /v1/servers?stream=1 HTTP/1.1\r\n")) << "still the whole list";
+    EXPECT_TRUE(w.discovery.quiet()) << "nobody asks the old address again";
+    next.send(kWatchHead + chunk(indented(list(3, true, host("s1", w.servers[1].port())))));
+    EXPECT_TRUE(w.watch.ended());
+    Wire caller = w.client();
+    served_by(w, caller, w.servers[1]);
+  }
+}
+
 // What a new process knows from before may be old, and what its agent has counts as told from its start.
 TEST(Crossing, ANewProcessSendsNothingBeforeItHasHeardOfTheServers) {
   PatientWorld w;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -471,14 +471,6 @@
   EXPECT_TRUE(has(w.take_watch(), "stream=1&index=7 ")) << "and so when that one says nothing at all";
 }
 
-// The configuration with discovery at another address.
-std::string moved(const World& w, const Peer& discovery) {
-  std::string out = w.config();
-  const std::string old = "\"discovery\":\"127.0.0.1:" + std::to_string(w.discovery.port());
-  return out.replace(out.find(old), old.size(),
-                     "\"discovery\":\"127.0.0.1:" + std::to_string(discovery.port()));
-}
-
 TEST(Node, MovesItsWatchOnSighup) {
   World w;
   w.serve(host("s0", w.servers[0].port()));
--- a/tests/node_world.h
+++ b/tests/node_world.h
@@ -165,4 +165,12 @@
   Wire next() const { return Peer::accept_either(servers[0], servers[1]); }
 };
 
+// The configuration with discovery at another address.
+inline std::string moved(const World& w, const Peer& discovery) {
+  std::string out = w.config();
+  const std::string old = "\"discovery\":\"127.0.0.1:" + std::to_string(w.discovery.port());
+  return out.replace(out.find(old), old.size(),
+                     "\"discovery\":\"127.0.0.1:" + std::to_string(discovery.port()));
+}
+
 }  // namespace nettlestand::testing
