Evictions of downstream connections are counted by state and age, and logged

Nothing told whether a connection that the node closes at its limit was closed for a client that waits, nor how long it had been there. Now app.downstream_evictions.STATE.recent and .older count them, .without_waiting_client those for which the listening socket had no connection, and one log line a second at most gives the numbers.

ConnectionLimit.EvictionsAreCountedAndLogged fails without it.

--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "node/downstream/connection.h"
+#include "node/net/socket_probe.h"
 #include "node/telemetry/log.h"
 #include "node/timing/clock.h"
 
@@ -17,6 +18,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
+using telemetry::Eviction;
 using telemetry::log_line;
 using timing::now;
 
@@ -53,19 +55,6 @@
   });
 }
 
-// Closes one idle connection that entered the list before a time, and returns whether there was one.
-// Connections with an unread request are skipped.
-bool evict_idle(ConnectionList& list, double before) {
-  bool evicted = false;
-  int attempts = 0;
-  for_each_while(list, [&](Connection& connection) {
-    if (attempts++ == kEvictionAttempts || connection.state_since() > before) return false;
-    evicted = connection.close_if_idle();
-    return !evicted;
-  });
-  return evicted;
-}
-
 }  // namespace
 
 Server::Server(asio::io_context& io, const config::NodeConfig& config,
@@ -73,6 +62,7 @@
                telemetry::Metrics& metrics, std::size_t max_connections, bool is_shared_address)
     : state_(io, config, dispatcher, body_budget, metrics, max_connections,
              [this] { on_connection_closed(); }),
+      eviction_log_(io, metrics),
       acceptor_(io),
       accept_timer_(io),
       overdue_timer_(io) {
@@ -182,13 +172,42 @@
   ConnectionLists& lists = state_.lists;
   if (!lists.closing.empty()) {
     const std::shared_ptr<Connection> oldest = lists.closing.front();
+    record_eviction(Eviction::State::kClosing, now() - oldest->state_since());
     oldest->close();
     return true;
   }
-  if (evict_idle(lists.fresh, now() - kEvictionAge) || evict_idle(lists.idle, now())) return true;
-  if (lists.reading.empty()) return evict_idle(lists.fresh, now());
-  const std::shared_ptr<Connection> slowest = lists.reading.front();
-  return slowest->close_if_slow(kEvictionAge) || evict_idle(lists.fresh, now());
+  if (evict_idle(lists.fresh, Eviction::State::kNew, now() - kEvictionAge)) return true;
+  if (evict_idle(lists.idle, Eviction::State::kIdle, now())) return true;
+  if (!lists.reading.empty()) {
+    const std::shared_ptr<Connection> slowest = lists.reading.front();
+    const double age = now() - slowest->state_since();
+    if (slowest->close_if_slow(kEvictionAge)) {
+      record_eviction(Eviction::State::kPartialRequest, age);
+      return true;
+    }
+  }
+  return evict_idle(lists.fresh, Eviction::State::kNew, now());
+}
+
+// Closes one idle connection that entered the list before a time, and returns whether there was one.
+// Connections with an unread request are skipped.
+bool Server::evict_idle(ConnectionList& list, Eviction::State state, double before) {
+  bool evicted = false;
+  int attempts = 0;
+  for_each_while(list, [&](Connection& connection) {
+    if (attempts++ == kEvictionAttempts || connection.state_since() > before) return false;
+    const double age = now() - connection.state_since();
+    evicted = connection.close_if_idle();
+    if (evicted) record_eviction(state, age);
+    return !evicted;
+  });
+  return evicted;
+}
+
+void Server::record_eviction(Eviction::State state, double age) {
+  eviction_log_.record({.state = state,
+                        .is_recent = age < kEvictionAge,
+                        .client_is_waiting = net::has_waiting_connection(acceptor_.native_handle())});
 }
 
 void Server::close_overdue() {
--- a/node/downstream/server.h
+++ b/node/downstream/server.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 
+#include "node/downstream/eviction_log.h"
 #include "node/downstream/server_state.h"
 
 namespace asterdrift::node::downstream {
@@ -54,10 +55,13 @@
   void log_connection_limit() const;
   void adopt(boost::asio::ip::tcp::socket socket);
   bool evict_one();
+  bool evict_idle(ConnectionList& list, telemetry::Eviction::State state, double before);
+  void record_eviction(telemetry::Eviction::State state, double age);
   void on_connection_closed();
   void close_overdue();
 
   ServerState state_;
+  EvictionLog eviction_log_;
   bool is_accepting_ = false;  // a wait for the next connection is pending
   bool is_full_ = false;       // at the limit; the next connection that closes resumes accepting
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/node/net/socket_probe.cpp
+++ b/node/net/socket_probe.cpp
@@ -27,6 +27,11 @@
   return ::poll(&hang_up, 1, 0) > 0;
 }
 
+bool has_waiting_connection(int listening_socket) {
+  pollfd acceptable{listening_socket, POLLIN, 0};
+  return ::poll(&acceptable, 1, 0) > 0;
+}
+
 bool is_quiet(int socket) { return peek(socket) < 0 && is_empty(errno); }
 
 }  // namespace asterdrift::node::net
--- a/node/net/socket_probe.h
+++ b/node/net/socket_probe.h
@@ -10,6 +10,9 @@
 // connection has broken.
 bool has_peer_disconnected(int socket);
 
+// Whether a connection waits to be accepted by a listening socket.
+bool has_waiting_connection(int listening_socket);
+
 // Whether the connection is open and nothing has arrived.
 bool is_quiet(int socket);
 
--- a/node/telemetry/metrics.cpp
+++ b/node/telemetry/metrics.cpp
@@ -7,6 +7,9 @@
 namespace asterdrift::node::telemetry {
 namespace {
 
+// By Eviction::State.
+constexpr std::array kEvictionStateNames = {"new", "idle", "partial_request", "closing"};
+
 using http::kOk;
 using http::kServiceUnavailable;
 using http::kTooManyRequests;
@@ -39,6 +42,12 @@
   }
 }
 
+void Metrics::count_eviction(const Eviction& eviction) {
+  EvictionCounters& counters = evictions_.at(static_cast<std::size_t>(eviction.state));
+  ++(eviction.is_recent ? counters.recent : counters.older);
+  if (!eviction.client_is_waiting) ++evictions_without_waiting_client_;
+}
+
 std::string Metrics::report(const Gauges& gauges) const {
   std::string out;
   for (const ClassCounters& counters : classes_) {
@@ -47,6 +56,13 @@
     out += line(prefix + "rejected", counters.rejected, 'c');
     out += line(prefix + "failed", counters.failed, 'c');
   }
+  static_assert(kEvictionStateNames.size() == kEvictionStates);
+  for (std::size_t state = 0; state < kEvictionStates; ++state) {
+    const std::string prefix = std::string("downstream_evictions.") + kEvictionStateNames.at(state) + ".";
+    out += line(prefix + "recent", evictions_.at(state).recent, 'c');
+    out += line(prefix + "older", evictions_.at(state).older, 'c');
+  }
+  out += line("downstream_evictions.without_waiting_client", evictions_without_waiting_client_, 'c');
   out += line("upstream_requests", attempts_, 'c');
   out += line("pending", gauges.pending, 'g');
   out += line("members", gauges.members, 'g');
--- a/tests/node/connection_limit_test.cpp
+++ b/tests/node/connection_limit_test.cpp
@@ -67,6 +67,22 @@
   fixture.expect_served(client);
 }
 
+// What is closed to make room shows in the metrics and, by its number, in the log.
+TEST(ConnectionLimit, EvictionsAreCountedAndLogged) {
+  NodeFixture fixture;
+  fixture.config.max_sockets = 100;
+  fixture.enable_admin_server();
+  fixture.start_with_one_server();
+  EXPECT_EQ(fixture.metric("downstream_evictions.idle.recent"), 0);
+  std::vector<TestSocket> keep_alive_clients;
+  for (int i = 0; i < 40; ++i) keep_alive_clients.push_back(connect_keep_alive_client(fixture));
+  EXPECT_GT(
+      fixture.metric("downstream_evictions.idle.recent") + fixture.metric("downstream_evictions.idle.older"),
+      0);
+  EXPECT_TRUE(contains(fixture.node->read_log_until("while no client was waiting"),
+                       "downstream connections evicted: "));
+}
+
 // New connections take the place of idle keep-alive connections, not of one another.
 TEST(ConnectionLimit, NewConnectionsDoNotEvictEachOther) {
   FewSocketsFixture fixture;
