A downstream connection is evicted only while a client waits for its place

What callers saw: at the connection limit a client that had connected and was about to send its first request found its connection closed, though nobody else wanted one.

Cause: Server::accept_one evicted before it knew whether another connection was in the listen backlog, after each accepted connection once more. So did accept_later, where Linux reports a full descriptor table even if nobody waits. Ruled out as its cause: a request on its way as its connection is closed (the test's last client has sent nothing before it is evicted), and eviction for one that is evicted next (there is no next one in the test). The latter does close connections in a crowd: open.

Change: poll the listening socket before evicting. The same question asked elsewhere: the admin server accepts first and then evicts; the connection pool closes an idle connection only for one that it opens at once; a lower limit evicts without a client by intention.

--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -114,10 +114,17 @@
 
 // Returns whether more may be accepted now; if not, accepting is resumed later.
 bool Server::accept_one() {
-  if (state_.connections >= state_.max_connections && !evict_one()) {
-    if (!is_full_) log_connection_limit();
-    is_full_ = true;
-    return false;
+  if (state_.connections >= state_.max_connections) {
+    if (!net::has_waiting_connection(acceptor_.native_handle())) {
+      is_full_ = false;
+      accept();
+      return false;
+    }
+    if (!evict_one()) {
+      if (!is_full_) log_connection_limit();
+      is_full_ = true;
+      return false;
+    }
   }
   error_code error;
   tcp::socket socket(state_.io);
@@ -141,7 +148,7 @@
 }
 
 void Server::accept_later() {
-  if (evict_one()) return accept();
+  if (net::has_waiting_connection(acceptor_.native_handle()) && evict_one()) return accept();
   accept_timer_.expires_after(kAcceptRetryDelay);
   accept_timer_.async_wait([this](const error_code& error) {
     if (!error) accept();
--- a/tests/node/connection_limit_test.cpp
+++ b/tests/node/connection_limit_test.cpp
@@ -67,6 +67,18 @@
   fixture.expect_served(client);
 }
 
+// A connection is closed only for a client that waits: not once the last waiting one has been accepted.
+TEST(ConnectionLimit, NoConnectionIsEvictedWhileNoClientIsWaiting) {
+  NodeFixture fixture;
+  fixture.config.max_sockets = 100;
+  fixture.enable_admin_server();
+  fixture.start_with_one_server();
+  std::vector<TestSocket> keep_alive_clients;
+  for (int i = 0; i < 100; ++i) keep_alive_clients.push_back(connect_keep_alive_client(fixture));
+  EXPECT_GT(fixture.metric("downstream_evictions.idle.recent"), 0);
+  EXPECT_EQ(fixture.metric("downstream_evictions.without_waiting_client"), 0);
+}
+
 // What is closed to make room shows in the metrics and, by its number, in the log.
 TEST(ConnectionLimit, EvictionsAreCountedAndLogged) {
   NodeFixture fixture;
