New downstream connections are spared, and waiting clients are accepted by a timer

What callers saw: next to a crowd of connections that hold all places, a new connection was closed before its first byte, though new ones were to be spared for 0.25 s; and where requests that had just begun to arrive held all places, nobody was accepted for up to 2.4 s.

Causes, by reading and then measured: evict_one ended with evict_idle(fresh, now()), whatever the age, so that one accept loop closed what it had just accepted; of the slow requests only the first in the list was considered; and once nothing could be evicted, only a connection that closed resumed accepting.

Change: ConnectionEvictor takes the decision out of Server. Connections that have been inactive for 0.25 s go first, an idle one before a partial request. Only where there is none, one goes that is younger, an idle one first, and none under 0.05 s that has not had a response. Each entry into an inactive state resumes accepting, and so does one timer at the age of the oldest connection. The same timer closes what a lower limit (a second process) could not close at once.

--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -1,5 +1,6 @@
 #include "node/downstream/connection.h"
 
+#include <algorithm>
 #include <boost/asio/socket_base.hpp>
 #include <exception>
 #include <string>
@@ -45,6 +46,11 @@
   wait_readable();
 }
 
+void Connection::enter(State state) {
+  state_.enter(state, weak_from_this().lock());
+  if (!is_busy(state)) server_.on_connection_inactive();
+}
+
 void Connection::close() {
   if (is_in(State::kClosed)) return;
   const bool awaited_response = awaits_response();
@@ -57,7 +63,6 @@
   sender_.stop();
   if (awaited_response) withdraw_request();
   --server_.connections;
-  server_.on_connection_closed();
 }
 
 bool Connection::close_if_idle() {
@@ -72,9 +77,12 @@
   if (reader_.is_paused() && has_client_disconnected()) close();
 }
 
+double Connection::slow_at(double limit) const {
+  return std::max((has_responded_ ? reader_.began_at() : connected_at_) + limit, reader_.too_slow_at());
+}
+
 bool Connection::close_if_slow(double limit) {
-  if (now() - (has_responded_ ? reader_.began_at() : connected_at_) < limit) return false;
-  if (!reader_.is_too_slow(now())) return false;
+  if (now() < slow_at(limit)) return false;
   error_code ignored;
   if (!is_in(State::kFresh)) socket_.write_some(asio::buffer(http::kTimeoutResponse), ignored);
   close();
--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -36,20 +36,23 @@
   // Closes it where its upload is paused and its client has disconnected: the bytes of a paused upload are
   // not read, so that the disconnection would not be noticed.
   void close_if_client_disconnected();
-  // Closes it where it has sent an incomplete request and has had `limit` s. Returns whether it has been
-  // closed.
+  // When its incomplete request will have had `limit` s and be too slow, on the steady clock.
+  double slow_at(double limit) const;
+  // Closes it where that time has come. Returns whether it has been closed.
   bool close_if_slow(double limit);
   // Closes it where its client has taken no byte of its response for `limit` s.
   void close_if_stuck(double limit);
   // Rejects a request that is still being read.
   void reject_partial_request();
 
-  double state_since() const { return state_.since(); }  // on the steady clock
+  // On the steady clock.
+  double connected_at() const { return connected_at_; }
+  double state_since() const { return state_.since(); }
 
  private:
   using State = ConnectionState;
 
-  void enter(State state) { state_.enter(state, weak_from_this().lock()); }
+  void enter(State state);
   bool is_in(State state) const { return state_.current() == state; }
   bool awaits_response() const { return is_in(State::kWaiting) || is_in(State::kUploading); }
   bool has_client_disconnected();
@@ -85,7 +88,7 @@
 
   ServerState& server_;
   boost::asio::ip::tcp::socket socket_;
-  const double connected_at_;  // on the steady clock
+  const double connected_at_;
   ListedState state_;
   InputBuffer input_;
   RequestReader reader_;
--- a/node/downstream/receive_pace.cpp
+++ b/node/downstream/receive_pace.cpp
@@ -19,10 +19,9 @@
   if (is_paused()) paused_for_ += now - std::exchange(paused_at_, 0);
 }
 
-bool ReceivePace::is_too_slow(double now) const {
-  if (is_in_head()) return true;
-  const double allowed = kBodyGrace + static_cast<double>(body_bytes_) / kMinBytesPerSecond;
-  return now - head_at_ - paused_for_ > allowed;
+double ReceivePace::too_slow_at() const {
+  if (is_in_head()) return 0;
+  return head_at_ + paused_for_ + kBodyGrace + static_cast<double>(body_bytes_) / kMinBytesPerSecond;
 }
 
 }  // namespace asterdrift::node::downstream
--- a/node/downstream/receive_pace.h
+++ b/node/downstream/receive_pace.h
@@ -20,9 +20,9 @@
 
   double began_at() const { return began_at_; }
   bool is_in_head() const { return head_at_ == 0; }
-  // Whether too little of the body has arrived for the elapsed time. True for an incomplete head: its time is
+  // When too little of the body will have arrived, if no more arrives. 0 for an incomplete head: its time is
   // limited by the caller.
-  bool is_too_slow(double now) const;
+  double too_slow_at() const;
 
  private:
   double began_at_ = 0;
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
+#include <limits>
 #include <utility>
 
 #include "node/timing/clock.h"
@@ -117,9 +118,9 @@
   body_reservation_ = {};
 }
 
-bool RequestReader::is_too_slow(double now) const {
+double RequestReader::too_slow_at() const {
   const bool waits_for_server = !pace_.is_in_head() && upload_ && upload_->is_full();
-  return !waits_for_server && pace_.is_too_slow(now);
+  return waits_for_server ? std::numeric_limits<double>::infinity() : pace_.too_slow_at();
 }
 
 }  // namespace asterdrift::node::downstream
--- a/node/downstream/request_reader.h
+++ b/node/downstream/request_reader.h
@@ -72,7 +72,8 @@
   double began_at() const { return pace_.began_at(); }
   void resume(double now) { pace_.resume(now); }
   bool is_paused() const { return pace_.is_paused(); }
-  bool is_too_slow(double now) const;
+  // When the request will be too slow, if no more of it arrives; infinity while it waits for the server.
+  double too_slow_at() const;
 
  private:
   void handle_head();
--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <cmath>
 #include <exception>
 #include <string>
 #include <utility>
@@ -18,7 +19,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
-using telemetry::Eviction;
 using telemetry::log_line;
 using timing::now;
 
@@ -26,11 +26,8 @@
 // s; for a head, from the connection's start if it is its first. Operators allow 3 s for a client without a
 // complete request.
 constexpr double kReadTimeout = 2.4;
-constexpr double kWriteTimeout = 5;  // s for a client to take any byte of its response
-constexpr double kCloseTimeout = 1;  // s for a client to close after its last response
-// s in which a new connection, or a request that is being read, is not evicted.
-constexpr double kEvictionAge = 0.25;
-constexpr int kEvictionAttempts = 16;   // connections examined to find one that can be evicted
+constexpr double kWriteTimeout = 5;     // s for a client to take any byte of its response
+constexpr double kCloseTimeout = 1;     // s for a client to close after its last response
 constexpr int kMaxAcceptsPerWait = 64;  // so that other sockets are served in between
 constexpr int kBacklog = 4096;          // connections that the system queues
 constexpr auto kOverduePeriod = std::chrono::milliseconds(100);
@@ -60,11 +57,11 @@
 Server::Server(asio::io_context& io, const config::NodeConfig& config,
                dispatch::RequestDispatcher& dispatcher, memory::MemoryBudget& body_budget,
                telemetry::Metrics& metrics, std::size_t max_connections, bool is_shared_address)
-    : state_(io, config, dispatcher, body_budget, metrics, max_connections,
-             [this] { on_connection_closed(); }),
-      eviction_log_(io, metrics),
+    : state_(io, config, dispatcher, body_budget, metrics, max_connections, [this] { resume_accepting(); }),
+      evictor_(state_),
       acceptor_(io),
       accept_timer_(io),
+      capacity_timer_(io),
       overdue_timer_(io) {
   bind(config.listen_address, is_shared_address);
   close_overdue();
@@ -91,13 +88,12 @@
 void Server::set_max_connections(std::size_t connections) {
   const bool has_more_capacity = connections > state_.max_connections;
   state_.max_connections = connections;
-  std::size_t excess = state_.has_too_many_connections() ? state_.connections - connections : 0;
-  while (excess > 0 && evict_one()) --excess;
-  if (has_more_capacity && is_full_) accept();
+  enforce_limit();
+  if (has_more_capacity) resume_accepting();
 }
 
 // At the limit, an inactive connection is closed for each new one. Where there is none, new connections wait
-// in the listen backlog until one closes.
+// in the listen backlog until a connection closes or may be evicted.
 void Server::accept() {
   if (is_accepting_ || !state_.is_listening || !acceptor_.is_open()) return;
   is_accepting_ = true;
@@ -120,9 +116,8 @@
       accept();
       return false;
     }
-    if (!evict_one()) {
-      if (!is_full_) log_connection_limit();
-      is_full_ = true;
+    if (!evictor_.evict_one(ConnectionEvictor::Reason::kClientIsWaiting)) {
+      wait_for_capacity();
       return false;
     }
   }
@@ -148,7 +143,8 @@
 }
 
 void Server::accept_later() {
-  if (net::has_waiting_connection(acceptor_.native_handle()) && evict_one()) return accept();
+  const bool client_is_waiting = net::has_waiting_connection(acceptor_.native_handle());
+  if (client_is_waiting && evictor_.evict_one(ConnectionEvictor::Reason::kClientIsWaiting)) return accept();
   accept_timer_.expires_after(kAcceptRetryDelay);
   accept_timer_.async_wait([this](const error_code& error) {
     if (!error) accept();
@@ -167,54 +163,34 @@
   }
 }
 
-void Server::on_connection_closed() {
+// A client waits, and no connection can be evicted now.
+void Server::wait_for_capacity() {
+  const double next = evictor_.next_eviction_at();
+  if (std::isinf(next) && !is_full_) log_connection_limit();
+  is_full_ = true;
+  enforce_limit_at(next);
+}
+
+void Server::resume_accepting() {
   if (is_full_) accept();
 }
 
-// Closes one inactive connection, and returns whether there was one. The order: connections that have had
-// their last response, those that have never sent a byte, idle ones, and those that send slowly. New
-// connections are spared for kEvictionAge: otherwise clients that reconnect would evict each other without
-// end.
-bool Server::evict_one() {
-  ConnectionLists& lists = state_.lists;
-  if (!lists.closing.empty()) {
-    const std::shared_ptr<Connection> oldest = lists.closing.front();
-    record_eviction(Eviction::State::kClosing, now() - oldest->state_since());
-    oldest->close();
-    return true;
-  }
-  if (evict_idle(lists.fresh, Eviction::State::kNew, now() - kEvictionAge)) return true;
-  if (evict_idle(lists.idle, Eviction::State::kIdle, now())) return true;
-  if (!lists.reading.empty()) {
-    const std::shared_ptr<Connection> slowest = lists.reading.front();
-    const double age = now() - slowest->state_since();
-    if (slowest->close_if_slow(kEvictionAge)) {
-      record_eviction(Eviction::State::kPartialRequest, age);
-      return true;
-    }
+// Closes inactive connections beyond the limit, now or once they may be evicted.
+void Server::enforce_limit() {
+  while (state_.has_too_many_connections()) {
+    if (!evictor_.evict_one(ConnectionEvictor::Reason::kLimitIsLower)) break;
   }
-  return evict_idle(lists.fresh, Eviction::State::kNew, now());
+  if (state_.has_too_many_connections()) enforce_limit_at(evictor_.next_eviction_at());
 }
 
-// Closes one idle connection that entered the list before a time, and returns whether there was one.
-// Connections with an unread request are skipped.
-bool Server::evict_idle(ConnectionList& list, Eviction::State state, double before) {
-  bool evicted = false;
-  int attempts = 0;
-  for_each_while(list, [&](Connection& connection) {
-    if (attempts++ == kEvictionAttempts || connection.state_since() > before) return false;
-    const double age = now() - connection.state_since();
-    evicted = connection.close_if_idle();
-    if (evicted) record_eviction(state, age);
-    return !evicted;
+void Server::enforce_limit_at(double time) {
+  if (std::isinf(time)) return;
+  capacity_timer_.expires_at(timing::time_point_of(time));
+  capacity_timer_.async_wait([this](const error_code& error) {
+    if (error) return;
+    enforce_limit();
+    resume_accepting();
   });
-  return evicted;
-}
-
-void Server::record_eviction(Eviction::State state, double age) {
-  eviction_log_.record({.state = state,
-                        .is_recent = age < kEvictionAge,
-                        .client_is_waiting = net::has_waiting_connection(acceptor_.native_handle())});
 }
 
 void Server::close_overdue() {
@@ -260,6 +236,7 @@
   error_code ignored;
   acceptor_.close(ignored);
   accept_timer_.cancel();
+  is_full_ = false;
 }
 
 }  // namespace asterdrift::node::downstream
--- a/node/downstream/server.h
+++ b/node/downstream/server.h
@@ -6,7 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 
-#include "node/downstream/eviction_log.h"
+#include "node/downstream/connection_evictor.h"
 #include "node/downstream/server_state.h"
 
 namespace asterdrift::node::downstream {
@@ -25,7 +25,7 @@
   bool is_listening() const { return state_.is_listening; }
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
-  // Idle connections beyond the limit are closed.
+  // Inactive connections beyond the limit are closed.
   void set_max_connections(std::size_t connections);
 
   // Graceful shutdown, step by step. First, /healthz responds 503; connections stay usable.
@@ -54,18 +54,18 @@
   void accept_later();
   void log_connection_limit() const;
   void adopt(boost::asio::ip::tcp::socket socket);
-  bool evict_one();
-  bool evict_idle(ConnectionList& list, telemetry::Eviction::State state, double before);
-  void record_eviction(telemetry::Eviction::State state, double age);
-  void on_connection_closed();
+  void wait_for_capacity();
+  void resume_accepting();
+  void enforce_limit();
+  void enforce_limit_at(double time);
   void close_overdue();
 
   ServerState state_;
-  EvictionLog eviction_log_;
+  ConnectionEvictor evictor_;
   bool is_accepting_ = false;  // a wait for the next connection is pending
-  bool is_full_ = false;       // at the limit; the next connection that closes resumes accepting
+  bool is_full_ = false;       // at the limit, and a client waits for a connection that can be evicted
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer accept_timer_, overdue_timer_;
+  boost::asio::steady_timer accept_timer_, capacity_timer_, overdue_timer_;
 };
 
 }  // namespace asterdrift::node::downstream
--- a/node/downstream/server_state.h
+++ b/node/downstream/server_state.h
@@ -53,14 +53,14 @@
 
   ServerState(boost::asio::io_context& io, const config::NodeConfig& config,
               dispatch::RequestDispatcher& dispatcher, memory::MemoryBudget& body_budget,
-              telemetry::Metrics& metrics, std::size_t max_connections, std::function<void()> on_closed)
+              telemetry::Metrics& metrics, std::size_t max_connections, std::function<void()> on_inactive)
       : io(io),
         dispatcher(dispatcher),
         body_budget(body_budget),
         metrics(metrics),
         validator(config),
         max_connections(max_connections),
-        on_connection_closed(std::move(on_closed)) {}
+        on_connection_inactive(std::move(on_inactive)) {}
 
   // Whether this process can serve, as /healthz and /ready report.
   bool is_ready() const { return dispatcher.is_ready() && is_listening && !is_draining; }
@@ -81,7 +81,9 @@
   telemetry::Metrics& metrics;
   const RequestValidator validator;
   std::size_t max_connections;
-  const std::function<void()> on_connection_closed;
+  // Called when a connection has closed, or has entered a state in which it may be evicted. The connection
+  // may be in the middle of an operation.
+  const std::function<void()> on_connection_inactive;
 
   ConnectionLists lists;
   std::size_t connections = 0;
--- a/tests/node/connection_limit_test.cpp
+++ b/tests/node/connection_limit_test.cpp
@@ -26,6 +26,9 @@
   return client;
 }
 
+// How many clients' connections a node with max_sockets = 100 keeps open.
+constexpr int kMaxConnectionsOf100Sockets = 33;
+
 // A node with few sockets and one server.
 struct FewSocketsFixture : NodeFixture {
   FewSocketsFixture() {
@@ -79,6 +82,23 @@
   EXPECT_EQ(fixture.metric("downstream_evictions.without_waiting_client"), 0);
 }
 
+// Clients whose requests have just begun to arrive hold all connections: one is closed after a moment, not
+// when its time for a request is over.
+TEST(ConnectionLimit, ClientIsServedSoonWhilePartialRequestsHoldAllConnections) {
+  FewSocketsFixture fixture;
+  fixture.node->suspend();  // so that it accepts all at once
+  std::vector<TestSocket> slow_clients;
+  for (int i = 0; i < kMaxConnectionsOf100Sockets; ++i) {
+    slow_clients.push_back(fixture.connect_client());
+    slow_clients.back().send("POST /api HTTP/1.1\r\nRequest-Id:");
+  }
+  TestSocket client = fixture.connect_client();
+  const Stopwatch stopwatch;
+  fixture.node->resume();
+  fixture.expect_served(client);
+  EXPECT_LT(stopwatch.seconds(), 1);
+}
+
 // What is closed to make room shows in the metrics and, by its number, in the log.
 TEST(ConnectionLimit, EvictionsAreCountedAndLogged) {
   NodeFixture fixture;
