A request's time counts from when its last byte arrived, not from when it was read

What callers saw: a request that waited behind another one, or in the socket of a process that was held up, was forwarded with the full Request-Timeout-Ms, up to 0.78 s more than its client had left where 0.15 s are allowed, and its final response came as much too late.

Cause: Connection::take_request set received_at to the time of the hand-over, RequestDispatcher::body_received to that of the parsing.

Change: connections are read with recvmsg and SO_TIMESTAMPNS, set on the listening socket, so that also bytes that came before the accept have a time. InputBuffer keeps the times of its bytes; the time of the last parsed one is received_at. A request whose time is over is rejected at once with 503 and Retry-After, and not shown to the balancer.

Left: of several requests in one read after a hold-up all have the time of the last one. Looked for elsewhere: admin connections pass no time on; responses of servers are timed by timers of the attempt.

--- a/node/dispatch/messages.h
+++ b/node/dispatch/messages.h
@@ -20,7 +20,7 @@
   balancer::Request balancer_request;  // the dispatcher fills in id, time_left and body_arriving
   std::shared_ptr<upstream::UpstreamRequest> forwarded;
   std::string client_id;   // of the client's Request-Id header
-  double received_at = 0;  // on the steady clock
+  double received_at = 0;  // when its last byte arrived, on the steady clock
   double timeout = 0;      // s, from when the client sent its last byte
   // Whether the client has disconnected; empty where that is not known.
   std::function<bool()> has_client_disconnected;
--- a/node/dispatch/request_dispatcher.cpp
+++ b/node/dispatch/request_dispatcher.cpp
@@ -26,6 +26,10 @@
   return {request.received_at, request.timeout};
 }
 
+bool is_expired(const DownstreamRequest& request) {
+  return request.forwarded->body_rest == nullptr && now() >= deadline_of(request).attempts_end_at();
+}
+
 balancer::EndpointUpdate update_of(const config::EndpointList& list) {
   balancer::EndpointUpdate update;
   update.form = list.is_snapshot ? balancer::EndpointUpdate::Form::kSnapshot
@@ -97,6 +101,10 @@
 
 RequestId RequestDispatcher::dispatch(DownstreamRequest request, ResponseCallback on_response) {
   const RequestId id = requests_.next_id();
+  if (is_expired(request)) {  // it has waited behind another one, or in the socket
+    on_response(rejection());
+    return id;
+  }
   request.balancer_request.id = to_text(id);
   request.balancer_request.body_arriving = request.forwarded->body_rest != nullptr;
   request.balancer_request.time_left = deadline_of(request).attempts_end_at() - now();
@@ -109,10 +117,10 @@
   return id;
 }
 
-void RequestDispatcher::body_received(RequestId id) {
+void RequestDispatcher::body_received(RequestId id, double received_at) {
   const std::shared_ptr<InFlightRequest> request = requests_.find(id);
   if (request == nullptr || !request->is_open()) return;
-  request->request.received_at = now();
+  request->request.received_at = received_at;
   set_deadline(*request);
 }
 
--- a/node/dispatch/request_dispatcher.h
+++ b/node/dispatch/request_dispatcher.h
@@ -28,9 +28,10 @@
 
   // Takes a request. on_response is called exactly once, perhaps before this returns, unless the client
   // disconnects first. Where the rest of the body is still arriving, the request's time counts from
-  // body_received().
+  // the arrival that body_received() tells.
   RequestId dispatch(DownstreamRequest request, ResponseCallback on_response);
-  void body_received(RequestId id);
+  // received_at: when the last byte of the body arrived, on the steady clock.
+  void body_received(RequestId id, double received_at);
 
   // Whether a request with this Request-Id header is in flight, or has open attempts.
   bool is_in_flight(const std::string& client_id) const { return requests_.contains_client_id(client_id); }
--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -10,6 +10,7 @@
 #include "node/http/response.h"
 #include "node/net/address.h"
 #include "node/net/socket_probe.h"
+#include "node/net/timed_read.h"
 #include "node/telemetry/log.h"
 #include "node/timing/clock.h"
 
@@ -126,20 +127,20 @@
 
 void Connection::read() {
   error_code error;
-  const std::size_t size = socket_.read_some(asio::buffer(server_.read_buffer), error);
+  const net::TimedRead received = net::read_some(socket_, asio::buffer(server_.read_buffer), error);
   if (error == asio::error::would_block) return wait_readable();
   if (error) return close();
   if (is_in(State::kClosing)) {
-    discarded_bytes_ += size;
+    discarded_bytes_ += received.size;
     return discarded_bytes_ > memory::kMaxBodyBytes ? close() : wait_readable();
   }
-  const std::string_view bytes(server_.read_buffer.data(), size);
+  const std::string_view bytes(server_.read_buffer.data(), received.size);
   if (is_in(State::kWaiting) || is_in(State::kWriting)) {
     // Unread bytes would hide a disconnection.
-    input_.append_pipelined(bytes);
+    input_.append_pipelined(bytes, received.arrived_at);
     return wait_readable();
   }
-  input_.append(bytes);
+  input_.append(bytes, received.arrived_at);
   if (!is_in(State::kReading) && !is_in(State::kUploading)) begin_request();
   parse();
 }
@@ -198,7 +199,7 @@
   if (has_client_disconnected()) return close();
   reader_.finish_upload();
   enter(State::kWaiting);
-  if (request_id_) server_.dispatcher.body_received(*request_id_);
+  if (request_id_) server_.dispatcher.body_received(*request_id_, input_.parsed_arrived_at());
   wait_readable();
 }
 
@@ -247,7 +248,7 @@
 
 dispatch::DownstreamRequest Connection::take_request() {
   dispatch::DownstreamRequest request = reader_.take_api_request();
-  request.received_at = now();
+  request.received_at = input_.parsed_arrived_at();
   request.has_client_disconnected = [self = weak_from_this()] {
     const auto connection = self.lock();
     return !connection || (!connection->is_dispatching_ && connection->has_client_disconnected());
--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -10,6 +10,7 @@
 
 #include "node/downstream/connection.h"
 #include "node/net/socket_probe.h"
+#include "node/net/timed_read.h"
 #include "node/telemetry/log.h"
 #include "node/timing/clock.h"
 
@@ -75,6 +76,7 @@
     error_code refused;  // then the address is this process's alone, as it would be without the option
     acceptor_.set_option(reuse_port(true), refused);
   }
+  net::enable_arrival_times(acceptor_.native_handle());  // the accepted connections inherit it
   acceptor_.bind(address);
   acceptor_.non_blocking(true);
 }
