A pipelined request behind a streamed response is served in a drain

Cause: on_response_written() asked must_close() anew. Where the drain had begun since the response's head was written, the head had not said Connection: close, and begin_closing() threw away what the client had sent behind it.

Change: only a response that has announced it ends its connection, and one after which pipelined bytes have been discarded. In a drain the next response announces it; a connection without a next request is idle and is closed with the idle ones. Replacement.RequestBehindAStreamedResponseGetsAResponse timed out before (15 s, no attempt), now passes.

Looked for elsewhere: pipelined bytes over their limit are still discarded behind a response that has begun (open list).

--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -304,7 +304,8 @@
   reader_.clear_request_class();
   has_responded_ = true;
   input_.release_reservation();
-  if (closes_after_response_ || must_close()) return begin_closing();
+  // The client goes on using a connection whose end its response has not announced.
+  if (closes_after_response_ || input_.has_overflowed()) return begin_closing();
   if (input_.is_empty()) {
     input_.clear();
     enter(State::kIdle);
--- a/tests/node/replacement_test.cpp
+++ b/tests/node/replacement_test.cpp
@@ -119,6 +119,35 @@
   EXPECT_TRUE(contains(fixture.response_to("c"), " 200 "));
 }
 
+// A response whose head was written before the drain has not announced the end of its connection: the
+// client's next request, which has been read already, gets a response too.
+TEST(Replacement, RequestBehindAStreamedResponseGetsAResponse) {
+  ReplacementFixture fixture;
+  TestSocket old_watch, new_watch;
+  const auto predecessor = fixture.start_ready(old_watch);
+  TestSocket client = fixture.connect_to_node(), probe = fixture.connect_to_node();
+  client.send(request_with_id("close", "r1") + request_with_id("close", "r2"));
+  TestSocket server = fixture.servers[0].accept();
+  server.read_message();
+  const std::string half(100000, 'x');
+  server.send("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + half);
+  EXPECT_TRUE(contains(client.read_until("\r\n\r\n"), " 200 "));
+  const auto successor = fixture.start_ready(new_watch);
+  predecessor->signal(SIGTERM);
+  wait_until([&] {
+    probe.send("GET /healthz HTTP/1.1\r\n\r\n");
+    return contains(probe.read_message(), "Connection: close\r\n");
+  });
+  server.send(half);
+  client.read_bytes(2 * half.size());
+  fixture.server_connections.push_back({std::move(server), ""});
+  fixture.serve("r2");
+  const std::string response = client.read_message();
+  EXPECT_TRUE(contains(response, " 200 ")) << response;
+  EXPECT_TRUE(contains(response, "Connection: close\r\n")) << response;
+  EXPECT_EQ(predecessor->wait_for_exit(), 0);
+}
+
 TEST(Replacement, PredecessorContinuesWhenTheSuccessorDies) {
   ReplacementFixture fixture;
   TestSocket old_watch;
