A replaced process hands new connections over before it closes its listening socket

What callers saw: a client that connected as the old process closed its listening socket was reset.

Cause: the system resets a connection that is established between the last accept() and close() of a listening socket, also where another socket listens on the address (SO_REUSEPORT). Draining the backlog first cannot close that window. Change: the old process makes the system give all new connections to the other one (SO_ATTACH_REUSEPORT_CBPF, which returns the index of a listening socket), goes on accepting those that are being established, and closes its socket once none has come for 0.1 s, 0.3 s at most. ProcessGroup knows which process is the older one by the process ids that held locks when it started. A first trial took a process for the older one once it had been alone; a next process that starts at once made that wrong, and connections went to the old process.

Window left: where the system refuses the option, where more than two processes run, and where no other process serves, as before.

--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "node/downstream/connection.h"
+#include "node/net/connection_steering.h"
 #include "node/net/socket_probe.h"
 #include "node/net/timed_read.h"
 #include "node/telemetry/log.h"
@@ -154,6 +155,7 @@
 }
 
 void Server::adopt(tcp::socket socket) {
+  last_accepted_at_ = now();
   error_code error;
   socket.set_option(tcp::no_delay(true), error);
   socket.non_blocking(true, error);
@@ -229,6 +231,14 @@
   for (const std::shared_ptr<Connection>& connection : all) connection->reject_partial_request();
 }
 
+bool Server::hand_over_new_connections(std::uint32_t listening_index) {
+  return state_.is_listening && net::steer_new_connections(acceptor_.native_handle(), listening_index);
+}
+
+void Server::end_hand_over() {
+  if (acceptor_.is_open()) net::stop_steering(acceptor_.native_handle());
+}
+
 void Server::stop_accepting() {
   for (error_code error; state_.is_listening && !error;) {
     tcp::socket socket(state_.io);
--- a/node/downstream/server.h
+++ b/node/downstream/server.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <cstdint>
 
 #include "node/downstream/connection_evictor.h"
 #include "node/downstream/server_state.h"
@@ -32,6 +33,13 @@
   void begin_drain() { state_.is_draining = true; }
   // Then responses end their connections. Idle ones stay open, and new ones are still accepted.
   void close_after_responses() { state_.closes_after_responses = true; }
+  // Leaves new connections to another process that listens on the address; this one goes on accepting those
+  // that are being established. listening_index: of the other process, see net::steer_new_connections().
+  // Returns whether the system can do it.
+  bool hand_over_new_connections(std::uint32_t listening_index);
+  // The other process has ended: this one accepts all connections.
+  void end_hand_over();
+  double last_accepted_at() const { return last_accepted_at_; }  // on the steady clock
   // Accepts the connections in the listen backlog, and none after that.
   void stop_accepting();
   // Idle connections are closed too.
@@ -64,6 +72,7 @@
   ConnectionEvictor evictor_;
   bool is_accepting_ = false;  // a wait for the next connection is pending
   bool is_full_ = false;       // at the limit, and a client waits for a connection that can be evicted
+  double last_accepted_at_ = 0;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_, capacity_timer_, overdue_timer_;
 };
--- a/node/process/graceful_shutdown.cpp
+++ b/node/process/graceful_shutdown.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <optional>
 
 #include "node/telemetry/log.h"
 #include "node/timing/clock.h"
@@ -17,9 +19,11 @@
 // After SIGTERM, new connections still come for up to 0.4 s, and SIGKILL no sooner than the longest deadline
 // (3 s at most) and 0.7 s after it.
 constexpr auto kPeriod = std::chrono::milliseconds(20);
-constexpr double kAcceptTime = 0.55;   // s in which new connections are accepted
-constexpr double kCloseTime = 0.1;     // s after kAcceptTime, before a node without connections ends
-constexpr double kMaxDeadline = 3;     // s
+constexpr double kAcceptTime = 0.55;      // s in which new connections are accepted
+constexpr double kConnectTime = 0.1;      // s in which a connection is established
+constexpr double kMaxHandOverTime = 0.3;  // s in which connections of before the hand-over may still come
+constexpr double kCloseTime = 0.1;        // s after kAcceptTime, before a node without connections ends
+constexpr double kMaxDeadline = 3;        // s
 constexpr double kHandOverTime = 1.2;  // s before the longest deadline; clients are sent to other nodes then
 constexpr double kHandOverTimeAlone = 0.1;    // s before the final responses, where there is no other node
 constexpr double kFinalResponseDelay = 0.45;  // s after the longest deadline; open requests are ended then
@@ -60,8 +64,11 @@
   // next response. Idle connections stay open for now: the new process has not measured its endpoints yet,
   // and would reject more requests if all clients came at once.
   const bool is_replaced = process_group_.count_others(State::kServing) > 0;
-  if (is_replaced) server_.close_after_responses();
-  if (is_replaced || elapsed >= kAcceptTime) stop_accepting();
+  if (is_replaced) {
+    server_.close_after_responses();
+    hand_over_new_connections();
+  }
+  if (may_stop_accepting(elapsed, is_replaced)) stop_accepting();
   if (elapsed >= close_idle_time(is_replaced)) server_.close_idle();
   if (elapsed >= final_response_time_) {
     dispatcher_.expire_all();
@@ -77,6 +84,21 @@
   });
 }
 
+// The system resets connections that are being established as their listening socket closes. So new ones go
+// to the other process first, and this one closes its socket once no more come.
+void GracefulShutdown::hand_over_new_connections() {
+  if (handed_over_at_ > 0 || !is_accepting_) return;
+  const std::optional<std::uint32_t> other = process_group_.listening_index_of_other();
+  if (other && server_.hand_over_new_connections(*other)) handed_over_at_ = now();
+}
+
+bool GracefulShutdown::may_stop_accepting(double elapsed, bool is_replaced) const {
+  if (elapsed >= kAcceptTime) return true;
+  if (!is_replaced) return false;
+  if (handed_over_at_ == 0 || now() - handed_over_at_ >= kMaxHandOverTime) return true;
+  return now() - std::max(handed_over_at_, server_.last_accepted_at()) >= kConnectTime;
+}
+
 void GracefulShutdown::stop_accepting() {
   if (is_accepting_) server_.stop_accepting();
   is_accepting_ = false;
--- a/node/process/graceful_shutdown.h
+++ b/node/process/graceful_shutdown.h
@@ -24,6 +24,8 @@
 
  private:
   void advance();
+  void hand_over_new_connections();
+  bool may_stop_accepting(double elapsed, bool is_replaced) const;
   void stop_accepting();
   double close_idle_time(bool is_replaced) const;
   bool is_drained(double elapsed, bool is_replaced) const;
@@ -36,6 +38,7 @@
   const bool is_only_replica_;        // of its tier
   double began_at_ = 0;               // on the steady clock; 0: has not begun
   bool is_accepting_ = true;
+  double handed_over_at_ = 0;  // on the steady clock; 0: another process does not get all new connections
   boost::asio::steady_timer timer_;
 };
 
--- a/node/process/node.cpp
+++ b/node/process/node.cpp
@@ -135,6 +135,7 @@
   body_budget_.resize(limits.body_bytes);
   server_.set_max_connections(limits.downstream_connections);
   dispatcher_.set_max_upstream_connections(limits.upstream_connections);
+  if (limits.processes == 1) server_.end_hand_over();
   if (admin_server_) admin_server_->set_max_connections(limits.admin_connections);
 }
 
--- a/node/process/process_group.cpp
+++ b/node/process/process_group.cpp
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 
 namespace asterdrift::node::process {
@@ -29,6 +30,17 @@
   return result == 0 && (command != F_GETLK || request.l_type != F_UNLCK);
 }
 
+// The process that holds a lock on a byte; 0 where none does.
+pid_t holder_of(int file, int byte) {
+  struct flock request {};
+  request.l_type = F_WRLCK;
+  request.l_whence = SEEK_SET;
+  request.l_start = byte;
+  request.l_len = 1;
+  const bool is_held = ::fcntl(file, F_GETLK, &request) == 0 && request.l_type != F_UNLCK;
+  return is_held ? request.l_pid : 0;
+}
+
 int byte_of(int slot, ProcessGroup::State state) { return slot * kStates + static_cast<int>(state); }
 
 std::string lock_file_path(const char* directory, const boost::asio::ip::tcp::endpoint& address) {
@@ -50,6 +62,7 @@
   if (file < 0) return;
   if (is_own_regular_file(file) && take_slot(file)) {
     file_ = file;
+    older_ = others();
   } else {
     ::close(file);
   }
@@ -80,4 +93,20 @@
   return count;
 }
 
+std::vector<pid_t> ProcessGroup::others() const {
+  std::vector<pid_t> processes;
+  for (int slot = 0; file_ >= 0 && slot < kMaxProcesses; ++slot) {
+    const pid_t holder = slot == slot_ ? 0 : holder_of(file_, byte_of(slot, State::kAlive));
+    if (holder > 0) processes.push_back(holder);
+  }
+  return processes;
+}
+
+std::optional<std::uint32_t> ProcessGroup::listening_index_of_other() const {
+  const std::vector<pid_t> processes = others();
+  if (processes.size() != 1) return std::nullopt;
+  const bool is_older = std::ranges::find(older_, processes.front()) != older_.end();
+  return is_older ? 0 : 1;
+}
+
 }  // namespace asterdrift::node::process
--- a/node/process/process_group.h
+++ b/node/process/process_group.h
@@ -1,8 +1,13 @@
 // The processes that run as one node, as while it is being replaced.
 #pragma once
 
+#include <sys/types.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace asterdrift::node::process {
 
@@ -31,12 +36,19 @@
   // How many other processes publish a state now.
   std::size_t count_others(State state) const;
 
+  // The index of the only other process in the order in which they began to listen; empty where there are
+  // several others, or none.
+  std::optional<std::uint32_t> listening_index_of_other() const;
+
  private:
   // Publishes kAlive in the first free slot. Returns whether there is one.
   bool take_slot(int file);
+  // The other processes that are there now.
+  std::vector<pid_t> others() const;
 
   int file_ = -1;
-  int slot_ = 0;  // of this process in the file
+  int slot_ = 0;              // of this process in the file
+  std::vector<pid_t> older_;  // the other processes that were there when this one started
 };
 
 }  // namespace asterdrift::node::process
