An action of the balancer that throws ends its own request alone

By reading: where one action of an event threw, as for lack of memory, the exception left handle_next_event, and the event's remaining actions were dropped, among them final responses, and queued events waited for the next one.

Now each action is carried out by itself. The log says which one failed; its request gets its final response at once (502 where an attempt may have run, else 503), an attempt that was left without a connection ends as one that may have run, once. Not shown by a test: the dispatcher's part, since no test makes its allocations fail.

--- a/node/dispatch/balancer_host.cpp
+++ b/node/dispatch/balancer_host.cpp
@@ -1,7 +1,9 @@
 #include "node/dispatch/balancer_host.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <memory>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -26,6 +28,30 @@
   bool& flag_;
 };
 
+const char* name_of(const balancer::SendAttempt&) { return "send attempt"; }
+const char* name_of(const balancer::RejectRequest&) { return "reject request"; }
+const char* name_of(const balancer::FailRequest&) { return "fail request"; }
+const char* name_of(const balancer::CancelAttempt&) { return "cancel attempt"; }
+const char* name_of(const balancer::SetTimer&) { return "set timer"; }
+const char* name_of(const balancer::WatchEndpoints&) { return "watch endpoints"; }
+const char* name_of(const balancer::LogLine&) { return "log line"; }
+
+// Empty where an action concerns no request.
+std::string request_id_of(const balancer::Action& action) {
+  return std::visit(
+      [](const auto& each) -> std::string {
+        if constexpr (requires { each.id; }) return each.id;
+        return {};
+      },
+      action);
+}
+
+std::string describe(const balancer::Action& action) {
+  const std::string name = std::visit([](const auto& each) { return name_of(each); }, action);
+  const std::string id = request_id_of(action);
+  return id.empty() ? name : name + " " + id;
+}
+
 }  // namespace
 
 BalancerHost::BalancerHost(boost::asio::io_context& io, const config::NodeConfig& config,
@@ -41,20 +67,27 @@
   while (!events_.empty()) handle_next_event();
 }
 
-// Known limitation: where an action throws, the remaining actions of its event are not carried out.
 void BalancerHost::handle_next_event() {
   const balancer::Event event = std::move(events_.front());
   events_.pop_front();
   actions_.clear();
   balancer_.handle(now(), event, actions_);
-  for (const balancer::Action& action : actions_) {
-    std::visit([this](const auto& each) { run(each); }, action);
-  }
+  for (const balancer::Action& action : actions_) carry_out(action);
   if (const auto* result = std::get_if<balancer::AttemptResult>(&event)) {
     action_handler_.on_attempt_result_handled(*result);
   }
 }
 
+void BalancerHost::carry_out(const balancer::Action& action) {
+  try {
+    std::visit([this](const auto& each) { run(each); }, action);
+  } catch (const std::exception& error) {
+    telemetry::log_line("balancer action failed: " + describe(action) + ": " + error.what());
+    const std::string id = request_id_of(action);
+    if (!id.empty()) action_handler_.on_action_failed(id);
+  }
+}
+
 void BalancerHost::run(const balancer::SetTimer& action) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(io_, timing::time_point_of(action.at));
   timer->async_wait([this, timer, token = action.token](const error_code& error) {
--- a/node/dispatch/balancer_host.h
+++ b/node/dispatch/balancer_host.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <deque>
+#include <string>
 #include <vector>
 
 #include "asterdrift/balancer/balancer.h"
@@ -20,6 +21,8 @@
   virtual void run(const balancer::FailRequest& action) = 0;
   virtual void run(const balancer::CancelAttempt& action) = 0;
   virtual void run(const balancer::WatchEndpoints& action) = 0;
+  // An exception has ended an action on this request midway. Must not throw.
+  virtual void on_action_failed(const std::string& id) = 0;
   // All actions that follow from the end of an attempt have been carried out.
   virtual void on_attempt_result_handled(const balancer::AttemptResult& result) = 0;
 };
@@ -31,13 +34,14 @@
   BalancerHost(boost::asio::io_context& io, const config::NodeConfig& config, BalancerActions& actions);
 
   // The balancer is not re-entered: an event that its actions cause is handled after them, before the
-  // outermost call returns.
+  // outermost call returns. An action that throws ends its own request alone: the others are carried out.
   void post(balancer::Event event);
 
   balancer::EndpointSetView endpoints() const;
 
  private:
   void handle_next_event();
+  void carry_out(const balancer::Action& action);
   template <class Action>
   void run(const Action& action) {
     action_handler_.run(action);
--- a/node/dispatch/request_dispatcher.cpp
+++ b/node/dispatch/request_dispatcher.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <utility>
 #include <vector>
 
 #include "node/dispatch/request_deadline.h"
 #include "node/http/status.h"
+#include "node/telemetry/log.h"
 #include "node/timing/clock.h"
 
 namespace asterdrift::node::dispatch {
@@ -95,6 +97,31 @@
 
 void RequestDispatcher::run(const balancer::WatchEndpoints&) { watch_(); }
 
+void RequestDispatcher::on_action_failed(const std::string& id) {
+  const std::shared_ptr<InFlightRequest> request = requests_.find(id);
+  if (request == nullptr) return;
+  try {
+    end_after_failure(*request);
+  } catch (const std::exception& error) {
+    telemetry::log_line("request " + id + " could not be ended: " + error.what());
+  }
+}
+
+// How far the action has come is not known: an attempt that it has left without a connection may have run.
+void RequestDispatcher::end_after_failure(InFlightRequest& request) {
+  if (request.is_open()) {
+    const ResponseCallback on_response = close(request);
+    on_response(request.may_have_run() ? Response{.status = kBadGateway} : rejection());
+  }
+  for (std::size_t i = 0; i < request.attempts.size(); ++i) {
+    const bool has_connection = !request.attempts[i].handle.connection.expired();
+    if (request.attempts[i].is_open() && !has_connection) {
+      handle_attempt_end(request.id, static_cast<AttemptNumber>(i), {Outcome::kUnknown, {}, {}, {}, 0});
+    }
+  }
+  abort(request.id);
+}
+
 void RequestDispatcher::on_attempt_result_handled(const balancer::AttemptResult& result) {
   if (const std::optional<RequestId> id = parse_request_id(result.id)) requests_.remove_if_done(*id);
 }
@@ -209,6 +236,7 @@
   const std::shared_ptr<InFlightRequest> request = requests_.find(id);
   if (request == nullptr) return;
   Attempt& attempt = *request->find_attempt(number);
+  if (!attempt.is_open()) return;  // its start has failed, see on_action_failed()
   attempt.end(end.outcome);
   const double sent_at = std::max(attempt.sent_at, end.sent_at);
   if (end.outcome == Outcome::kSuccess) {
--- a/node/dispatch/request_dispatcher.h
+++ b/node/dispatch/request_dispatcher.h
@@ -63,12 +63,14 @@
   void run(const balancer::FailRequest& action) override;
   void run(const balancer::CancelAttempt& action) override;
   void run(const balancer::WatchEndpoints& action) override;
+  void on_action_failed(const std::string& id) override;
   void on_attempt_result_handled(const balancer::AttemptResult& result) override;
 
   void set_deadline(InFlightRequest& request);
   bool is_awaited(RequestId id);
   void expire(RequestId id);
   void abort(RequestId id);
+  void end_after_failure(InFlightRequest& request);
   ResponseCallback close(InFlightRequest& request);
   void respond(InFlightRequest& request, Response&& response);
 
--- a/tests/node/connection_limit_test.cpp
+++ b/tests/node/connection_limit_test.cpp
@@ -77,6 +77,7 @@
   fixture.enable_admin_server();
   fixture.start_with_one_server();
   std::vector<TestSocket> keep_alive_clients;
+  keep_alive_clients.reserve(100);
   for (int i = 0; i < 100; ++i) keep_alive_clients.push_back(connect_keep_alive_client(fixture));
   EXPECT_GT(fixture.metric("downstream_evictions.idle.recent"), 0);
   EXPECT_EQ(fixture.metric("downstream_evictions.without_waiting_client"), 0);
@@ -107,6 +108,7 @@
   fixture.start_with_one_server();
   EXPECT_EQ(fixture.metric("downstream_evictions.idle.recent"), 0);
   std::vector<TestSocket> keep_alive_clients;
+  keep_alive_clients.reserve(40);
   for (int i = 0; i < 40; ++i) keep_alive_clients.push_back(connect_keep_alive_client(fixture));
   EXPECT_GT(
       fixture.metric("downstream_evictions.idle.recent") + fixture.metric("downstream_evictions.idle.older"),
