--- a/node/telemetry/metrics.cpp
+++ b/node/telemetry/metrics.cpp
@@ -56,6 +56,10 @@
     out += line(prefix + "rejected", counters.rejected, 'c');
     out += line(prefix + "failed", counters.failed, 'c');
   }
+  out += line("upstream_requests", attempts_, 'c');
+  out += line("pending", gauges.pending, 'g');
+  out += line("members", gauges.members, 'g');
+  out += line("members_unavailable", gauges.members_unavailable, 'g');
   static_assert(kEvictionStateNames.size() == kEvictionStates);
   for (std::size_t state = 0; state < kEvictionStates; ++state) {
     const std::string prefix = std::string("downstream_evictions.") + kEvictionStateNames.at(state) + ".";
@@ -63,10 +67,6 @@
     out += line(prefix + "older", evictions_.at(state).older, 'c');
   }
   out += line("downstream_evictions.without_waiting_client", evictions_without_waiting_client_, 'c');
-  out += line("upstream_requests", attempts_, 'c');
-  out += line("pending", gauges.pending, 'g');
-  out += line("members", gauges.members, 'g');
-  out += line("members_unavailable", gauges.members_unavailable, 'g');
   return out;
 }
 
