--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -3,10 +3,12 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -174,7 +176,11 @@
   }
   std::string& input() { return input_; }
   // How many sent bytes the peer's system has not acknowledged.
-  int unacknowledged() const;
+  int unacknowledged() const {
+    int bytes = 0;
+    ::ioctl(fd_.get(), SIOCOUTQ, &bytes);
+    return bytes;
+  }
 
  private:
   void set_no_delay() {
@@ -266,6 +272,41 @@
   return port;
 }
 
+// A server in a process of its own, so that signals can stop it. To be started before any thread. `serve` runs
+// for each connection.
+class ServerProcess {
+ public:
+  ServerProcess(const std::string& host, std::function<void(Connection&)> serve) {
+    int channel[2];
+    if (::pipe2(channel, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      const int port = start_acceptor(host, std::move(serve));
+      if (::write(channel[1], &port, sizeof port) != sizeof port) ::_exit(1);
+      for (;;) ::pause();
+    }
+    if (::read(channel[0], &port_, sizeof port_) != sizeof port_) throw std::runtime_error("no server");
+    ::close(channel[0]);
+    ::close(channel[1]);
+  }
+  ServerProcess(const ServerProcess&) = delete;
+  ~ServerProcess() { end(); }
+  int port() const { return port_; }
+  void stop() { ::kill(pid_, SIGSTOP); }
+  void resume() { ::kill(pid_, SIGCONT); }
+  void end() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+  }
+
+ private:
+  pid_t pid_ = -1;
+  int port_ = 0;
+};
+
 // Discovery's agent: a snapshot at once, then an empty line every 2 s.
 class Discovery {
  public:
