--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -26,7 +26,10 @@
                          std::to_string(answer_bytes) + "\r\n\r\n")) {
       return;
     }
-    if (!connection.send(std::string(answer_bytes, 'x'))) return;
+    static const std::string piece(32UL * 1024, 'x');
+    for (std::size_t sent = 0; sent < answer_bytes; sent += piece.size()) {
+      if (!connection.send(piece)) return;
+    }
   }
 }
 
@@ -130,7 +133,7 @@
       record.line("BROKEN: the node holds %ld kB, over its limit of %ld MB, with %d answers begun; the platform kills it",
                   memory_kb, kMemoryMb, outcomes.begun.load());
       node.kill();
-      sleep_for(1.5);  // the clients notice it
+      sleep_for(5);  // the clients read what the system still holds, and then notice it
     } else if (!node.is_running()) {
       crashed = true;
       record.line("BROKEN: the node has ended by itself: %s", node.log().c_str());
