--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -118,7 +118,7 @@
       sleep_for(start + kUploadsFrom + c * kPause / kClients - now());
       for (int n = 0; now() < start + kUploadsUntil; ++n) {
         const std::string id = "c" + std::to_string(c) + "-" + std::to_string(n);
-        const std::size_t bytes = 4200000 + static_cast<std::size_t>((c + n) % 6) * 200000;
+        const std::size_t bytes = 4400000 + static_cast<std::size_t>((c + n) % 4) * 800000;
         requests.emplace_back([&, id, bytes] { send_request(node, id, bytes, outcomes, record); });
         sleep_for(kPause);
       }
