--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -10,11 +10,11 @@
 constexpr int kDescriptors = 1024;
 constexpr long kMemoryMb = 48;
 constexpr double kDuration = 30;
-constexpr double kStartInterval = 0.015;            // between two clients
-constexpr std::size_t kLongAnswer = 4UL << 20;      // bytes
-constexpr std::size_t kShortAnswer = 32UL * 1024;   // without trouble
-constexpr std::size_t kReadBytes = 16UL * 1024;     // a client reads this much ...
-constexpr double kReadInterval = 0.25;              // ... this often: 64 kB a second
+constexpr double kStartInterval = 0.015;           // between two clients
+constexpr std::size_t kLongAnswer = 4UL << 20;     // bytes
+constexpr std::size_t kShortAnswer = 32UL * 1024;  // without trouble
+constexpr std::size_t kReadBytes = 16UL * 1024;    // a client reads this much ...
+constexpr double kReadInterval = 0.25;             // ... this often: 64 kB a second
 
 void serve(Connection& connection, std::size_t answer_bytes, Record& record) {
   const int buffer = 64 * 1024;
@@ -44,9 +44,11 @@
     record.line("%s cannot connect", id.c_str());
     return;
   }
-  connection.send("POST /api HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: " + id +
-                  "\r\nRequest-Class: field-report\r\nTenant: okanagan-growers\r\nRequest-Timeout-Ms: 2200\r\n"
-                  "Idempotency-Key: k-" + id + "\r\nContent-Length: 0\r\n\r\n");
+  connection.send(
+      "POST /api HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: " + id +
+      "\r\nRequest-Class: field-report\r\nTenant: okanagan-growers\r\nRequest-Timeout-Ms: 2200\r\n"
+      "Idempotency-Key: k-" +
+      id + "\r\nContent-Length: 0\r\n\r\n");
   record.line("%s sent", id.c_str());
   std::size_t expected = 0, received = 0;
   while (now() < end) {
@@ -93,15 +95,17 @@
   const std::size_t answer_bytes = run.trouble ? kLongAnswer : kShortAnswer;
   std::vector<std::string> entries;
   for (int i = 0; i < kServers; ++i) {
-    const int port = start_acceptor(
-        "127.0.0.1", [&record, answer_bytes](Connection& connection) { serve(connection, answer_bytes, record); });
+    const int port = start_acceptor("127.0.0.1", [&record, answer_bytes](Connection& connection) {
+      serve(connection, answer_bytes, record);
+    });
     entries.push_back(host_entry(i, "127.0.0.1:" + std::to_string(port), i / 5, "active"));
   }
   Discovery discovery("127.0.0.1");
   discovery.set_list(whole_list(1, entries));
   Node node(run.root, run.temporary + "/n1", "127.0.0.1");
   node.start(discovery.address(), R"("limits":{"cores":1.0,"memory_mb":)" + std::to_string(kMemoryMb) +
-                                      R"(,"sockets":)" + std::to_string(kDescriptors) + "}," + tractor_settings());
+                                      R"(,"sockets":)" + std::to_string(kDescriptors) + "}," +
+                                      tractor_settings());
   if (!node.wait_ready(10)) {
     record.line("the node is not ready: %s", node.log().c_str());
     std::_Exit(kCannotRun);
@@ -124,14 +128,17 @@
     peak_kb = std::max(peak_kb, memory_kb);
     if (static_cast<long>(now()) != last_line_at) {
       last_line_at = static_cast<long>(now());
-      record.line("the node holds %ld kB (all resident pages: %ld kB) of %ld kB; %d answers begun, %d complete",
-                  memory_kb, node.memory_kb("VmRSS"), kMemoryMb * 1024, outcomes.begun.load(),
-                  outcomes.complete.load());
+      record.line(
+          "the node holds %ld kB (all resident pages: %ld kB) of %ld kB; %d answers begun, %d complete",
+          memory_kb, node.memory_kb("VmRSS"), kMemoryMb * 1024, outcomes.begun.load(),
+          outcomes.complete.load());
     }
     if (memory_kb > kMemoryMb * 1024) {
       killed = true;
-      record.line("BROKEN: the node holds %ld kB, over its limit of %ld MB, with %d answers begun; the platform kills it",
-                  memory_kb, kMemoryMb, outcomes.begun.load());
+      record.line(
+          "BROKEN: the node holds %ld kB, over its limit of %ld MB, with %d answers begun; the platform "
+          "kills it",
+          memory_kb, kMemoryMb, outcomes.begun.load());
       node.kill();
       sleep_for(5);  // the clients read what the system still holds, and then notice it
     } else if (!node.is_running()) {
@@ -141,9 +148,12 @@
   }
   char summary[256];
   std::snprintf(summary, sizeof summary,
-                "peak %ld kB of %ld kB; begun %d, complete %d, refused %d, failed %d, cut %d; node %s", peak_kb,
-                kMemoryMb * 1024, outcomes.begun.load(), outcomes.complete.load(), outcomes.refused.load(),
-                outcomes.failed.load(), outcomes.cut.load(), killed ? "killed" : crashed ? "crashed" : "alive");
+                "peak %ld kB of %ld kB; begun %d, complete %d, refused %d, failed %d, cut %d; node %s",
+                peak_kb, kMemoryMb * 1024, outcomes.begun.load(), outcomes.complete.load(),
+                outcomes.refused.load(), outcomes.failed.load(), outcomes.cut.load(),
+                killed    ? "killed"
+                : crashed ? "crashed"
+                          : "alive");
   record.line("%s", summary);
   std::puts(summary);
   std::fflush(stdout);
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,4 +1,5 @@
-// A server hangs while requests with long bodies are on their way to it: do these requests get their final answer?
+// A server hangs while requests with long bodies are on their way to it: do these requests get their final
+// answer?
 #include "../support/harness.h"
 
 namespace {
@@ -9,11 +10,11 @@
 constexpr double kHangsFrom = 1, kHangsFor = 12;
 constexpr double kUploadsFrom = 2, kUploadsUntil = 8;
 constexpr int kClients = 10;
-constexpr double kPause = 0.4;       // between a client's requests
-constexpr double kTimeout = 2.2;     // the client's
-constexpr double kLostAfter = 0.5;   // "Up to half a second after its time it only earns nothing"
-constexpr double kSlack = 0.15;      // for this program's own clock readings
-constexpr double kPatience = 28;     // how long this client goes on listening, to see what comes
+constexpr double kPause = 0.4;      // between a client's requests
+constexpr double kTimeout = 2.2;    // the client's
+constexpr double kLostAfter = 0.5;  // "Up to half a second after its time it only earns nothing"
+constexpr double kSlack = 0.15;     // for this program's own clock readings
+constexpr double kPatience = 28;    // how long this client goes on listening, to see what comes
 
 void serve(Connection& connection, const std::string& name, Record& record) {
   Message request;
@@ -33,7 +34,8 @@
   std::atomic<int> sent{0}, served{0}, refused{0}, failed{0}, lost{0}, lost_acknowledged{0}, not_taken{0};
 };
 
-void send_request(const Node& node, const std::string& id, std::size_t bytes, Outcomes& outcomes, Record& record) {
+void send_request(const Node& node, const std::string& id, std::size_t bytes, Outcomes& outcomes,
+                  Record& record) {
   Connection connection;
   if (!connection.connect(node.host(), node.port())) {
     record.line("%s: cannot connect", id.c_str());
@@ -42,21 +44,22 @@
   ++outcomes.sent;
   const bool sent = connection.send("POST /api HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: " + id +
                                     "\r\nRequest-Class: field-report\r\nTenant: okanagan-growers\r\n"
-                                    "Request-Timeout-Ms: 2200\r\nIdempotency-Key: k-" + id +
-                                    "\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+                                    "Request-Timeout-Ms: 2200\r\nIdempotency-Key: k-" +
+                                    id + "\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" +
                                     std::string(bytes, 'x'));
   if (!sent) {
     ++outcomes.not_taken;
     record.line("%s: the node has not taken all of %zu bytes", id.c_str(), bytes);
     return;
   }
-  // "Once the last byte of a request is written to a connection that the node's machine accepted, the node has
-  // taken it."
+  // "Once the last byte of a request is written to a connection that the node's machine accepted, the node
+  // has taken it."
   const double taken_at = now();
   sleep_for(0.3);
   const int unacknowledged = connection.unacknowledged();
-  record.line("%s: all of its %zu bytes are written; after 0.3 s the node's machine has acknowledged all but %d",
-              id.c_str(), bytes, unacknowledged);
+  record.line(
+      "%s: all of its %zu bytes are written; after 0.3 s the node's machine has acknowledged all but %d",
+      id.c_str(), bytes, unacknowledged);
   Message answer;
   const Result result = read_message(connection, now() + kPatience, answer);
   const double waited = now() - taken_at;
@@ -71,10 +74,12 @@
   if (waited > kTimeout + kLostAfter + kSlack) {
     ++outcomes.lost;
     if (unacknowledged == 0) ++outcomes.lost_acknowledged;
-    record.line("BROKEN: %s got its answer (%d) %.3f s after its time; %d bytes unacknowledged at first", id.c_str(),
-                answer.status(), waited - kTimeout, unacknowledged);
+    record.line("BROKEN: %s got its answer (%d) %.3f s after its time; %d bytes unacknowledged at first",
+                id.c_str(), answer.status(), waited - kTimeout, unacknowledged);
   } else {
-    ++(answer.status() == 200 ? outcomes.served : answer.status() == 503 ? outcomes.refused : outcomes.failed);
+    ++(answer.status() == 200   ? outcomes.served
+       : answer.status() == 503 ? outcomes.refused
+                                : outcomes.failed);
   }
 }
 
@@ -94,7 +99,8 @@
   Discovery discovery("127.0.0.1");
   discovery.set_list(whole_list(1, entries));
   Node node(run.root, run.temporary + "/n1", "127.0.0.1");
-  node.start(discovery.address(), R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},)" + tractor_settings());
+  node.start(discovery.address(),
+             R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},)" + tractor_settings());
   if (!node.wait_ready(10)) {
     record.line("the node is not ready: %s", node.log().c_str());
     hanging.end();
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -196,7 +196,8 @@
   // The value of a header; empty if there is none. `name` in lower case.
   std::string header(const std::string& name) const {
     std::string lower = head;
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
     const std::size_t at = lower.find("\r\n" + name + ":");
     if (at == std::string::npos) return {};
     std::size_t begin = at + name.size() + 3;
@@ -272,8 +273,8 @@
   return port;
 }
 
-// A server in a process of its own, so that signals can stop it. To be started before any thread. `serve` runs
-// for each connection.
+// A server in a process of its own, so that signals can stop it. To be started before any thread. `serve`
+// runs for each connection.
 class ServerProcess {
  public:
   ServerProcess(const std::string& host, std::function<void(Connection&)> serve) {
@@ -332,8 +333,10 @@
       out << std::hex << text.size() << "\r\n" << text << "\r\n";
       return out.str();
     };
-    bool open = connection.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n" + chunk(list() + "\n"));
+    bool open = connection.send(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        chunk(list() + "\n"));
     while (open) {
       if (connection.read_more(now() + 2) != Connection::Read::kTimeout) return;
       open = connection.send(chunk("\n"));
@@ -399,7 +402,8 @@
       Message answer;
       if (!connection.connect(host_, port_)) continue;
       connection.send("GET /healthz HTTP/1.1\r\nHost: service.internal\r\n\r\n");
-      if (read_message(connection, now() + 1, answer) == Result::kMessage && answer.status() == 200) return true;
+      if (read_message(connection, now() + 1, answer) == Result::kMessage && answer.status() == 200)
+        return true;
     }
     return false;
   }
@@ -463,7 +467,8 @@
 
 inline std::string host_entry(int number, const std::string& dial, int cell, const std::string& health) {
   std::ostringstream out;
-  out << R"({"host":"s-)" << number << R"(","dial":")" << dial << R"(","site":"kamloops","class":"intake-std",)"
+  out << R"({"host":"s-)" << number << R"(","dial":")" << dial
+      << R"(","site":"kamloops","class":"intake-std",)"
       << R"("block":)" << cell << R"(,"health":")" << health << R"(","share":1.0,"born_ms":0})";
   return out.str();
 }
