--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -45,6 +45,8 @@
   bool close_if_slow(Seconds min_age);
   // Closes the connection if its client has taken no byte of the response for longer than `timeout`.
   void close_if_write_stalled(Seconds timeout);
+  // Whether nothing of an upload is read until its server has taken more bytes.
+  bool is_upload_blocked() const { return reader_.is_paused(); }
   // Rejects the request if it is still being read.
   void reject_partial_request();
 
--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <exception>
@@ -229,6 +230,13 @@
   });
 }
 
+std::size_t Server::blocked_uploads() const {
+  const auto count = std::ranges::count_if(
+      state_.lists.uploading,
+      [](const std::shared_ptr<Connection>& connection) { return connection->is_upload_blocked(); });
+  return static_cast<std::size_t>(count);
+}
+
 void Server::close_idle_connections() {
   state_.closes_after_responses = true;
   for (const ConnectionList* list : {&state_.lists.awaiting_first_request, &state_.lists.idle}) {
--- a/node/downstream/server.h
+++ b/node/downstream/server.h
@@ -55,6 +55,8 @@
   std::size_t busy_connections() const { return state_.busy_connections; }
   // The number of dispatched requests without a complete response.
   std::size_t pending_requests() const { return state_.pending_requests; }
+  // The number of uploads that are not read until their servers take more bytes.
+  std::size_t blocked_uploads() const;
   // Whether this process can serve requests, as /healthz and /ready report.
   bool is_ready() const { return state_.is_ready(); }
 
--- a/node/memory/body_stream.cpp
+++ b/node/memory/body_stream.cpp
@@ -15,11 +15,15 @@
 
 BodyStream::BodyStream(boost::asio::io_context& io, MemoryBudget& budget)
     : io_(io),
+      budget_(budget),
       reservation_(budget),
       capacity_(reservation_.grow_to(kCapacityBytes) ? kCapacityBytes : kMinCapacityBytes) {}
 
+BodyStream::~BodyStream() { budget_.remove_streamed(bytes_.size()); }
+
 void BodyStream::write(std::string_view bytes) {
   if (abandoned_ || bytes.empty()) return;
+  budget_.add_streamed(bytes.size());
   bytes_.append(bytes);
   notify(&BodyStream::on_readable_, &BodyStream::is_readable_call_pending_);
 }
@@ -33,12 +37,14 @@
 
 std::string BodyStream::read() {
   notify(&BodyStream::on_writable_, &BodyStream::is_writable_call_pending_);
+  budget_.remove_streamed(bytes_.size());
   return std::exchange(bytes_, {});
 }
 
 void BodyStream::abandon() {
   abandoned_ = true;
   on_readable_ = nullptr;
+  budget_.remove_streamed(bytes_.size());
   std::string().swap(bytes_);
   notify(&BodyStream::on_writable_, &BodyStream::is_writable_call_pending_);
 }
--- a/node/memory/body_stream.h
+++ b/node/memory/body_stream.h
@@ -25,6 +25,9 @@
 
   // If the budget is exhausted, the buffer has a smaller capacity.
   BodyStream(boost::asio::io_context& io, MemoryBudget& budget);
+  ~BodyStream();
+  BodyStream(const BodyStream&) = delete;
+  BodyStream& operator=(const BodyStream&) = delete;
 
   // To be called by the writer.
   bool is_full() const { return bytes_.size() >= capacity_; }
@@ -55,6 +58,7 @@
   void notify(Callback BodyStream::*callback, bool BodyStream::*pending);
 
   boost::asio::io_context& io_;
+  MemoryBudget& budget_;
   MemoryReservation reservation_;
   std::size_t capacity_;
   std::string bytes_;
--- a/node/memory/memory_budget.h
+++ b/node/memory/memory_budget.h
@@ -17,12 +17,19 @@
   std::size_t available() const { return reserved_ < size_ ? size_ - reserved_ : 0; }
   // Existing reservations stay valid until their release, even if they exceed the new size.
   void resize(std::size_t bytes) { size_ = bytes; }
+  std::size_t reserved() const { return reserved_; }
+
+  // The bytes in all body streams, reserved or not.
+  std::size_t streamed() const { return streamed_; }
+  void add_streamed(std::size_t bytes) { streamed_ += bytes; }
+  void remove_streamed(std::size_t bytes) { streamed_ -= bytes; }
 
  private:
   friend class MemoryReservation;
 
   std::size_t size_;
   std::size_t reserved_ = 0;
+  std::size_t streamed_ = 0;
 };
 
 // Bytes reserved from a budget, which has to outlive the reservation. The destructor releases them.
--- a/node/process/node.cpp
+++ b/node/process/node.cpp
@@ -142,7 +142,12 @@
 
 std::string Node::metrics_report() const {
   const balancer::EndpointMetrics endpoints = dispatcher_.endpoint_metrics();
-  return metrics_.report({server_.pending_requests(), endpoints.listed, endpoints.unavailable});
+  return metrics_.report({.pending_requests = server_.pending_requests(),
+                          .listed_endpoints = endpoints.listed,
+                          .unavailable_endpoints = endpoints.unavailable,
+                          .reserved_body_bytes = body_budget_.reserved(),
+                          .streamed_body_bytes = body_budget_.streamed(),
+                          .blocked_uploads = server_.blocked_uploads()});
 }
 
 }  // namespace asterdrift::node::process
--- a/node/telemetry/metrics.h
+++ b/node/telemetry/metrics.h
@@ -30,6 +30,9 @@
     std::size_t pending_requests = 0;       // requests without a complete response
     std::size_t listed_endpoints = 0;       // endpoints in the endpoint list
     std::size_t unavailable_endpoints = 0;  // listed endpoints that are sent no requests now
+    std::size_t reserved_body_bytes = 0;    // memory for bodies that is reserved from the budget
+    std::size_t streamed_body_bytes = 0;    // bytes of bodies that are being streamed, reserved or not
+    std::size_t blocked_uploads = 0;        // uploads that are not read, as their servers take no bytes
   };
 
   // request_classes: the names of the request classes, in the order of the settings.
