Streamed bodies stay within the memory that they are allowed

Cause: a streamed response reserved 64 KiB and held up to three times that: the stream, whose string doubles; the piece taken from it that waits for the client's socket; the last read in the parser, twice. Evidence: 100 clients that read nothing, memory_mb 16: reserved 5.57 MB, streamed 6.86 MB, peak resident 22.8 MB.

Change: a stream counts the piece that its reader has taken until its release, and its writer reads no more from the socket than there is room. The parser keeps only what it cannot parse yet. The first 64 KiB of an upload are freed once the request cannot be retried.

Related paths: slow readers, or uploads to a server that reads nothing, took the whole budget, and requests with a body were rejected with 503.

--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -130,8 +130,10 @@
 }
 
 void Connection::read() {
+  if (is_in(State::kUploading) && reader_.is_upload_full()) return;  // resume_upload() continues
   error_code error;
-  const net::TimestampedRead received = net::read_some(socket_, asio::buffer(server_.read_buffer), error);
+  const net::TimestampedRead received =
+      net::read_some(socket_, asio::buffer(server_.read_buffer, reader_.max_read_bytes()), error);
   if (error == asio::error::would_block) return wait_until_readable();
   if (error) return close();
   if (is_in(State::kClosing)) {
@@ -193,7 +195,7 @@
 }
 
 void Connection::resume_upload() {
-  if (!is_in(State::kUploading)) return;
+  if (!is_in(State::kUploading) || reader_.is_upload_full()) return;
   reader_.resume(now());
   wait_until_readable();
 }
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -16,6 +16,15 @@
 // Half of the budget is reserved for responses.
 std::size_t headroom_for_responses(const memory::MemoryBudget& budget) { return budget.size() / 2; }
 
+// Removes all but the last `unparsed` bytes, and frees the memory of an empty input.
+void remove_parsed_bytes(std::string& input, std::size_t unparsed) {
+  if (unparsed == 0) {
+    std::string().swap(input);
+  } else {
+    input.erase(0, input.size() - unparsed);
+  }
+}
+
 }  // namespace
 
 void RequestReader::begin(Seconds now) { receive_rate_.begin(now); }
@@ -30,11 +39,11 @@
     if (event == RequestParser::Event::kBodyProgress) begins_upload = handle_body();
     if (event == RequestParser::Event::kNeedsMore) break;
   }
-  input.erase(0, input.size() - bytes.size());
+  remove_parsed_bytes(input, bytes.size());
   if (begins_upload) return Result::kUploadStarted;
   if (parser_->is_done()) return Result::kComplete;
   if (input.size() > RequestParser::kMaxHeadBytes) throw RequestError(kHeaderFieldsTooLarge);
-  if (!upload_ || !upload_->is_full()) return Result::kNeedsMore;
+  if (!is_upload_full()) return Result::kNeedsMore;
   receive_rate_.pause(timing::now());
   return Result::kPaused;
 }
@@ -66,7 +75,7 @@
   // /healthz.
   if (upload_ || !request_) {
     receive_rate_.add_body_bytes(body.size());
-    if (upload_) upload_->write(body);
+    if (upload_) upload_->write(std::exchange(body, {}));
     body.clear();
     return false;
   }
@@ -81,7 +90,8 @@
 }
 
 void RequestReader::begin_upload() {
-  upload_ = std::make_shared<memory::BodyStream>(server_.io, server_.body_budget);
+  upload_ = std::make_shared<memory::BodyStream>(server_.io, server_.body_budget,
+                                                 memory::MemoryReservation(server_.body_budget));
   upload_->on_writable(callbacks_.on_upload_resumed);
 }
 
@@ -121,8 +131,12 @@
   body_reservation_ = {};
 }
 
+std::size_t RequestReader::max_read_bytes() const {
+  return upload_ ? upload_->room() : std::numeric_limits<std::size_t>::max();
+}
+
 Seconds RequestReader::receive_deadline() const {
-  const bool waits_for_server = !receive_rate_.is_in_head() && upload_ && upload_->is_full();
+  const bool waits_for_server = !receive_rate_.is_in_head() && is_upload_full();
   return waits_for_server ? std::numeric_limits<Seconds>::infinity() : receive_rate_.receive_deadline();
 }
 
--- a/node/downstream/request_reader.h
+++ b/node/downstream/request_reader.h
@@ -1,6 +1,7 @@
 // Reads requests from the bytes that arrive on a client's connection.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -48,6 +49,10 @@
   void begin(Seconds now);
   // Reads from `input`, and removes the bytes that have been read. Throws RequestError.
   Result read(std::string& input);
+  // How many bytes may be read from the client's socket now.
+  std::size_t max_read_bytes() const;
+  // Whether nothing may be read until on_upload_resumed() is called.
+  bool is_upload_full() const { return upload_ && upload_->is_full(); }
   // Releases the memory of the request. An unfinished upload is truncated.
   void release();
 
--- a/node/downstream/response_writer.cpp
+++ b/node/downstream/response_writer.cpp
@@ -64,6 +64,8 @@
 ResponseWriter::Next ResponseWriter::next() {
   is_first_piece_ = false;
   if (!stream_) return Next::kComplete;
+  std::string().swap(piece_);
+  stream_->release();
   if (!stream_->is_empty()) {
     piece_ = is_chunked_ ? http::encode_chunk(stream_->read()) : stream_->read();
     return Next::kPiece;
--- a/node/http/body.h
+++ b/node/http/body.h
@@ -5,12 +5,16 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/optional.hpp>
 #include <boost/system/error_code.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace asterdrift::node::http {
 
+// Begins a chunk with `size` bytes, which follow. The chunk ends with kChunkEnd.
+std::string chunk_head(std::size_t size);
+constexpr std::string_view kChunkEnd = "\r\n";
 // Frames bytes as one chunk of a chunked body.
 std::string encode_chunk(const std::string& bytes);
 // Ends a chunked body.
--- a/node/memory/memory_budget.h
+++ b/node/memory/memory_budget.h
@@ -48,6 +48,8 @@
   }
   ~MemoryReservation() { release(); }
 
+  std::size_t bytes() const { return reserved_; }
+
   // Grows the reservation to `bytes` in total if at least `headroom` bytes of the budget stay available
   // afterwards. Otherwise returns false and changes nothing.
   bool grow_to(std::size_t bytes, std::size_t headroom = 0) {
--- a/node/upstream/attempt.h
+++ b/node/upstream/attempt.h
@@ -25,6 +25,13 @@
   bool is_chunked = false;  // the length of the body is not known
   // Whether bytes of body_stream were sent, and are not buffered any more.
   bool body_stream_consumed = false;
+  // To be called before bytes of body_stream are sent. The request cannot be sent again from now on, so the
+  // memory of buffered_body, which has been sent, is freed.
+  void consume_body_stream() {
+    body_stream_consumed = true;
+    std::string().swap(buffered_body);
+    body_reservation.release();
+  }
   // Whether the client still awaits a response. Called before bytes are sent. The call may end attempts of
   // the request.
   std::function<bool()> is_response_awaited;
--- a/node/upstream/request_serializer.h
+++ b/node/upstream/request_serializer.h
@@ -28,8 +28,8 @@
   void reset();
 
   // The bytes of the current piece that have not been written.
-  std::array<boost::asio::const_buffer, 2> buffers() const;
-  bool is_piece_written() const { return written_ >= owned_.size() + borrowed_.size(); }
+  std::array<boost::asio::const_buffer, 3> buffers() const;
+  bool is_piece_written() const { return written_ >= prefix_.size() + body_.size() + suffix_.size(); }
   void advance(std::size_t bytes) { written_ += bytes; }
 
   // Advances to the next piece after the current one has been written. The first piece of body_stream marks
@@ -37,12 +37,16 @@
   Next next();
 
  private:
+  void set_body(std::string_view body);
+  void clear_piece();
+
   std::shared_ptr<UpstreamRequest> request_;
-  // The current piece consists of owned_ and then borrowed_.
-  std::string owned_;          // the part of the piece that the serializer owns
-  std::string_view borrowed_;  // the buffered body of request_, or empty
-  // How many bytes of the current piece have been written.
-  std::size_t written_ = 0;
+  // The current piece consists of prefix_, body_ and suffix_.
+  std::string prefix_;       // the head of the request, of a chunk, or of both
+  std::string_view body_;    // bytes of block_, or of the request's buffered body
+  std::string_view suffix_;  // ends a chunk
+  std::string block_;        // bytes of the request's body_stream
+  std::size_t written_ = 0;  // how many bytes of the current piece have been written
   bool is_last_piece_ = false;
 };
 
--- a/node/upstream/response_parser.cpp
+++ b/node/upstream/response_parser.cpp
@@ -2,6 +2,7 @@
 #include "node/upstream/response_parser.h"
 
 #include <boost/asio/buffer.hpp>
+#include <utility>
 
 #include "node/http/status.h"
 #include "node/memory/body_stream.h"
@@ -29,21 +30,28 @@
   head_bytes_ = 0;
 }
 
+// Only bytes that cannot be parsed yet are kept: a connection that streams a long response holds no buffer
+// for its input.
 ResponseParser::Result ResponseParser::parse(std::string_view bytes, const std::function<void()>& on_body) {
-  unparsed_.append(bytes);
-  const Result result = parse_unparsed(on_body);
+  std::string joined;
+  if (!unparsed_.empty()) {
+    joined = std::exchange(unparsed_, {}).append(bytes);
+    bytes = joined;
+  }
+  const Result result = parse_prefix(bytes, on_body);
+  unparsed_ = bytes;
   if (result != Result::kIncomplete) return result;
   return unparsed_.size() > kMaxHeadBytes ? Result::kInvalid : Result::kIncomplete;
 }
 
-ResponseParser::Result ResponseParser::parse_unparsed(const std::function<void()>& on_body) {
-  std::size_t from = 0;
-  while (from < unparsed_.size() && !parser_->is_done()) {
+// Removes the bytes that have been parsed from `bytes`.
+ResponseParser::Result ResponseParser::parse_prefix(std::string_view& bytes,
+                                                    const std::function<void()>& on_body) {
+  while (!bytes.empty() && !parser_->is_done()) {
     const bool in_head = !parser_->is_header_done();
     error_code error;
-    const auto rest = boost::asio::buffer(unparsed_.data() + from, unparsed_.size() - from);
-    const std::size_t used = parser_->put(rest, error);
-    from += used;
+    const std::size_t used = parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    bytes.remove_prefix(used);
     if (in_head) head_bytes_ += used;
     if (error && error != beast_http::error::need_more) return Result::kInvalid;
     if (head_bytes_ > kMaxHeadBytes) return Result::kInvalid;
@@ -57,7 +65,6 @@
       break;
     }
   }
-  unparsed_.erase(0, from);
   return parser_->is_done() ? Result::kComplete : Result::kIncomplete;
 }
 
--- a/node/upstream/response_parser.h
+++ b/node/upstream/response_parser.h
@@ -45,9 +45,9 @@
   void begin_message();
   bool is_interim() const;
   bool has_unambiguous_length() const;
-  Result parse_unparsed(const std::function<void()>& on_body);
+  Result parse_prefix(std::string_view& bytes, const std::function<void()>& on_body);
 
-  std::string unparsed_;
+  std::string unparsed_;  // received bytes that cannot be parsed yet
   std::optional<boost::beast::http::response_parser<http::IncrementalBody>> parser_;
   std::size_t head_bytes_ = 0;
   int interim_responses_ = 0;
--- a/node/upstream/response_receiver.cpp
+++ b/node/upstream/response_receiver.cpp
@@ -1,7 +1,7 @@
 // Buffers, streams or discards the body of a response.
 #include "node/upstream/response_receiver.h"
 
-#include <string>
+#include <limits>
 #include <utility>
 
 #include "node/http/status.h"
@@ -26,8 +26,7 @@
     return BodyState::kReceiving;
   }
   if (stream_) {
-    stream_->write(body);
-    body.clear();
+    stream_->write(std::exchange(body, {}));
     return BodyState::kReceiving;
   }
   const auto length = parser_->content_length();
@@ -39,15 +38,16 @@
 
 StreamedResponse ResponseReceiver::start_streaming(Seconds body_stream_sent_at,
                                                    memory::BodyStream::Callback on_writable) {
-  stream_ = std::make_shared<memory::BodyStream>(io_, budget_);
+  stream_ = std::make_shared<memory::BodyStream>(io_, budget_, std::exchange(reservation_, {}));
   stream_->on_writable(std::move(on_writable));
-  std::string& body = parser_->body();
-  stream_->write(body);
-  std::string().swap(body);
-  reservation_.release();
+  stream_->write(std::exchange(parser_->body(), {}));
   return {parser_->content_type(), parser_->content_length(), stream_, body_stream_sent_at};
 }
 
+std::size_t ResponseReceiver::max_read_bytes() const {
+  return stream_ ? stream_->room() : std::numeric_limits<std::size_t>::max();
+}
+
 void ResponseReceiver::finish(UpstreamResult& result) {
   const bool is_success = result.outcome == balancer::Outcome::kSuccess;
   if (stream_) {
--- a/node/upstream/response_receiver.h
+++ b/node/upstream/response_receiver.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,6 +50,8 @@
   bool is_streaming() const { return stream_ != nullptr; }
   // Whether no more bytes can be received until the client has taken some of those in the stream.
   bool is_stream_full() const { return stream_ && stream_->is_full(); }
+  // How many bytes may be read from the server's socket now.
+  std::size_t max_read_bytes() const;
   bool is_stream_abandoned() const { return stream_ && stream_->is_abandoned(); }
 
   // Ends the response with the attempt: finishes the stream, or moves a successful response into `result`.
