Requests are answered in time while their server takes no bytes of the body

Cause: a request's time counts from its last byte, and its deadline began when the node read that byte. A server that takes no bytes makes the node stop reading its client, so the last byte waits unread. Evidence: with the new test on the code before, uploads_blocked becomes 1 and the response comes after 15.0 s, the limit for an attempt without progress.

Change: while an upload is blocked, its request expires as if the last byte had arrived when the client's socket was last empty, but not before the server has taken nothing for 0.4 s. If all missing bytes have arrived unread (FIONREAD, every 0.1 s), the time counts from then. The response is 503 with Retry-After, as no server has the complete request; a blocked attempt counts as failed for its server.

Why this works: the earliest possible arrival bounds the client's deadline from below, so the response comes in time wherever the last byte is; a server that goes on taking bytes ends this deadline, so slow uploads are served as before (BlockedUpload.UploadThatItsServerReadsSlowlyIsServed passes before and after).

Failed before: RequestIsAnsweredInTimeWhileItsServerTakesNoBytes (15.0 and 15.1 s instead of 1.5) and RequestThatHasArrivedIsAnsweredInTimeWhileItsServerReadsSlowly.

--- a/node/dispatch/in_flight_request.h
+++ b/node/dispatch/in_flight_request.h
@@ -55,6 +55,8 @@
 
   const RequestId id;
   DownstreamRequest downstream_request;
+  // Whether the last byte of a body that was arriving at the dispatch has arrived since then.
+  bool has_body_arrived = false;
   ResponseCallback on_response;  // empty once the request has its final response or its client is gone
   boost::asio::steady_timer deadline_timer;
   std::vector<Attempt> attempts;
--- a/node/dispatch/request_dispatcher.cpp
+++ b/node/dispatch/request_dispatcher.cpp
@@ -144,7 +144,9 @@
   const auto in_flight =
       std::make_shared<InFlightRequest>(io_, id, std::move(request), std::move(on_response));
   requests_.insert(in_flight);
-  if (!in_flight->downstream_request.upstream_request->body_stream) start_deadline_timer(*in_flight);
+  if (!in_flight->downstream_request.upstream_request->body_stream) {
+    expire_at(*in_flight, to_deadline(in_flight->downstream_request).final_response_at());
+  }
   balancer_.handle_event(in_flight->downstream_request.balancer_request);
   return id;
 }
@@ -152,8 +154,34 @@
 void RequestDispatcher::on_body_received(RequestId id, Seconds received_at) {
   const std::shared_ptr<InFlightRequest> request = requests_.find(id);
   if (request == nullptr || !request->awaits_response()) return;
-  request->downstream_request.received_at = received_at;
-  start_deadline_timer(*request);
+  Seconds& earliest = request->downstream_request.received_at;
+  if (request->has_body_arrived && earliest <= received_at) return;
+  request->has_body_arrived = true;
+  earliest = received_at;
+  expire_at(*request, to_deadline(request->downstream_request).final_response_at());
+}
+
+// A client that has sent the last byte awaits a response, whether or not the node reads that byte. While the
+// server takes bytes, they are read sooner or later, and a client that is still sending does not lose its
+// request.
+void RequestDispatcher::on_body_blocked(RequestId id, Seconds unread_since) {
+  const std::shared_ptr<InFlightRequest> request = find_arriving(id);
+  if (request == nullptr) return;
+  const Seconds timeout = request->downstream_request.timeout;
+  const Seconds earliest = RequestDeadline(unread_since, timeout).final_response_at();
+  expire_at(*request, std::max(earliest, now() + std::min(upstream::kBlockedTime, timeout)));
+}
+
+void RequestDispatcher::on_body_resumed(RequestId id) {
+  const std::shared_ptr<InFlightRequest> request = find_arriving(id);
+  if (request != nullptr) request->deadline_timer.cancel();
+}
+
+// Returns a request whose body is still arriving and that awaits a response; null if there is none.
+std::shared_ptr<InFlightRequest> RequestDispatcher::find_arriving(RequestId id) {
+  const std::shared_ptr<InFlightRequest> request = requests_.find(id);
+  const bool is_arriving = request != nullptr && request->awaits_response() && !request->has_body_arrived;
+  return is_arriving ? request : nullptr;
 }
 
 void RequestDispatcher::on_client_disconnected(RequestId id) {
@@ -175,9 +203,9 @@
   return false;
 }
 
-void RequestDispatcher::start_deadline_timer(InFlightRequest& request) {
-  request.deadline_timer.expires_at(
-      timing::to_time_point(to_deadline(request.downstream_request).final_response_at()));
+// Lets the request expire at `time`, instead of an earlier choice.
+void RequestDispatcher::expire_at(InFlightRequest& request, Seconds time) {
+  request.deadline_timer.expires_at(timing::to_time_point(time));
   request.deadline_timer.async_wait([this, id = request.id](const error_code& error) {
     if (!error) expire(id);
   });
--- a/node/dispatch/request_dispatcher.h
+++ b/node/dispatch/request_dispatcher.h
@@ -32,8 +32,13 @@
   // client disconnects first. If the request's body is still arriving, the request's timeout counts from the
   // time that is passed to on_body_received().
   RequestId dispatch(DownstreamRequest request, ResponseCallback on_response);
-  // The last byte of a request's body arrived at `received_at`, on the steady clock.
+  // The last byte of a request's body arrived at `received_at` or earlier, on the steady clock.
   void on_body_received(RequestId id, Seconds received_at);
+  // The server takes no more bytes of the request's body, which is therefore not read. The last byte may have
+  // arrived as early as `unread_since`, so the request's timeout counts from then until on_body_resumed().
+  void on_body_blocked(RequestId id, Seconds unread_since);
+  // The server has taken bytes of the request's body again.
+  void on_body_resumed(RequestId id);
 
   // Whether a request with this value of the Request-Id header has no final response yet, or has open
   // attempts.
@@ -72,7 +77,8 @@
   void on_action_failed(const std::string& id) override;
   void on_attempt_result_handled(const balancer::AttemptResult& result) override;
 
-  void start_deadline_timer(InFlightRequest& request);
+  std::shared_ptr<InFlightRequest> find_arriving(RequestId id);
+  void expire_at(InFlightRequest& request, Seconds time);
   bool is_response_awaited(RequestId id);
   void expire(RequestId id);
   void abort(RequestId id);
--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -75,8 +75,13 @@
   return true;
 }
 
-void Connection::close_if_client_disconnected() {
-  if (reader_.is_paused() && has_client_disconnected()) close();
+void Connection::probe_blocked_upload() {
+  if (!is_in(State::kUploading) || !reader_.is_paused()) return;
+  if (has_client_disconnected()) return close();
+  const std::size_t unread = net::unread_bytes(socket_.native_handle());
+  if (request_id_ && reader_.is_upload_within(unread)) {
+    server_.dispatcher.on_body_received(*request_id_, now());
+  }
 }
 
 Seconds Connection::receive_deadline(Seconds min_age) const {
@@ -132,14 +137,18 @@
 void Connection::read() {
   if (is_in(State::kUploading) && reader_.is_upload_full()) return;  // resume_upload() continues
   error_code error;
+  const std::size_t max_bytes = std::min(server_.read_buffer.size(), reader_.max_read_bytes());
   const net::TimestampedRead received =
-      net::read_some(socket_, asio::buffer(server_.read_buffer, reader_.max_read_bytes()), error);
+      net::read_some(socket_, asio::buffer(server_.read_buffer, max_bytes), error);
   if (error == asio::error::would_block) return wait_until_readable();
   if (error) return close();
   if (is_in(State::kClosing)) {
     discarded_bytes_ += received.size;
     return discarded_bytes_ > memory::kMaxBodyBytes ? close() : wait_until_readable();
   }
+  const bool begins_request = !is_in(State::kReading) && !is_in(State::kUploading);
+  if (begins_request) unread_since_ = received.arrived_at;
+  if (received.size < max_bytes) unread_since_ = now();  // the socket is empty
   const std::string_view bytes(server_.read_buffer.data(), received.size);
   if (is_in(State::kAwaitingResponse) || is_in(State::kWriting)) {
     // Bytes left unread in the socket would hide a disconnection of the client.
@@ -147,7 +156,7 @@
     return wait_until_readable();
   }
   input_.append(bytes, received.arrived_at);
-  if (!is_in(State::kReading) && !is_in(State::kUploading)) begin_request();
+  if (begins_request) begin_request();
   parse();
 }
 
@@ -172,6 +181,7 @@
       wait_until_readable();
       return false;
     case RequestReader::Result::kPaused:
+      on_upload_blocked();
       return false;
     case RequestReader::Result::kUploadStarted:
       return dispatch(State::kUploading);
@@ -194,9 +204,15 @@
   return callbacks;
 }
 
+// The server takes no more bytes of the upload, and the last byte may arrive unread.
+void Connection::on_upload_blocked() {
+  if (request_id_) server_.dispatcher.on_body_blocked(*request_id_, unread_since_);
+}
+
 void Connection::resume_upload() {
   if (!is_in(State::kUploading) || reader_.is_upload_full()) return;
   reader_.resume(now());
+  if (request_id_) server_.dispatcher.on_body_resumed(*request_id_);
   wait_until_readable();
 }
 
--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -34,9 +34,10 @@
   // Closes the connection unless a request is being read, or its response is awaited or being written.
   // Returns whether the connection has been closed.
   bool close_if_idle();
-  // Closes the connection if its upload is paused and its client has disconnected. Nothing is read from the
-  // socket during a pause, so that the disconnection would not be noticed otherwise.
-  void close_if_client_disconnected();
+  // Looks, without reading, at the socket of an upload that is blocked. Closes the connection if the client
+  // has disconnected, and tells the dispatcher if the last byte of the request has arrived: nothing is read
+  // while the upload is blocked, so that neither would be noticed otherwise.
+  void probe_blocked_upload();
   // The time on the steady clock from which the incomplete request counts as too slow if no more of it
   // arrives. The request is never too slow before its age is `min_age`. The age of a connection's first
   // request counts from the connection's start.
@@ -69,6 +70,7 @@
   void parse();
   bool parse_next();
   void finish_upload();
+  void on_upload_blocked();
   void resume_upload();
   RequestReader::Callbacks reader_callbacks();
 
@@ -102,6 +104,8 @@
   ResponseSender sender_;
   bool is_read_wait_pending_ = false;
   bool has_responded_ = false;
+  // All bytes that have not been read arrived after this time on the steady clock.
+  Seconds unread_since_ = 0;
   // How many bytes have been received after the last response.
   std::size_t discarded_bytes_ = 0;
 
--- a/node/downstream/request_parser.cpp
+++ b/node/downstream/request_parser.cpp
@@ -53,4 +53,9 @@
   return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+std::optional<std::uint64_t> RequestParser::remaining_body_bytes() const {
+  const auto length = parser_.content_length_remaining();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 }  // namespace asterdrift::node::downstream
--- a/node/downstream/request_parser.h
+++ b/node/downstream/request_parser.h
@@ -41,6 +41,8 @@
   // Whether the client can read a chunked response, as every HTTP/1.1 client can.
   bool client_reads_chunks() const;
   std::optional<std::uint64_t> content_length() const;
+  // How many bytes of the body have not been parsed yet; empty if the body is chunked.
+  std::optional<std::uint64_t> remaining_body_bytes() const;
   // The parsed bytes of the body, except those that the caller has moved out.
   std::string& body() { return parser_.get().body(); }
 
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -117,6 +117,11 @@
   upstream_request.body_stream = upload_;
 }
 
+bool RequestReader::is_upload_within(std::size_t unread_bytes) const {
+  const std::optional<std::uint64_t> remaining = parser_->remaining_body_bytes();
+  return remaining && *remaining <= unread_bytes;
+}
+
 void RequestReader::finish_upload() {
   upload_->finish(true);
   upload_.reset();
--- a/node/downstream/request_reader.h
+++ b/node/downstream/request_reader.h
@@ -66,6 +66,8 @@
   bool has_body() { return !parser_->body().empty(); }
   // To be called when a request without an upload is dispatched.
   void release_parser() { parser_.reset(); }
+  // Whether all bytes of the upload that have not been read are among `unread_bytes`.
+  bool is_upload_within(std::size_t unread_bytes) const;
   // To be called after the last byte of an upload.
   void finish_upload();
 
--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -220,7 +220,7 @@
   for_each_while(lists.reading, close_if_slow);
   for_each_while(lists.uploading, close_if_slow);
   for_each_while(lists.uploading,
-                 [](Connection& connection) { return connection.close_if_client_disconnected(), true; });
+                 [](Connection& connection) { return connection.probe_blocked_upload(), true; });
   for_each_while(lists.writing, [](Connection& connection) {
     return connection.close_if_write_stalled(kWriteTimeout), true;
   });
--- a/node/net/socket_probe.cpp
+++ b/node/net/socket_probe.cpp
@@ -2,6 +2,7 @@
 #include "node/net/socket_probe.h"
 
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -22,6 +23,11 @@
 
 bool has_unread_bytes(int socket) { return peek(socket) > 0; }
 
+std::size_t unread_bytes(int socket) {
+  int bytes = 0;
+  return ::ioctl(socket, FIONREAD, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 bool has_peer_disconnected(int socket) {
   const ssize_t size = peek(socket);
   if (size <= 0) return size == 0 || (!would_block(errno) && errno != EINTR);
--- a/node/upstream/attempt_timer.h
+++ b/node/upstream/attempt_timer.h
@@ -29,6 +29,7 @@
 
   // To be called when bytes have been sent or received.
   void on_progress() { progress_at_ = timing::now(); }
+  Seconds time_without_progress() const { return timing::now() - progress_at_; }
   // When a streamed body times out for lack of progress. Time in which the client is awaited does not count.
   Seconds stall_timeout_at(bool awaits_client) const;
 
--- a/node/upstream/connection.cpp
+++ b/node/upstream/connection.cpp
@@ -94,7 +94,9 @@
 
 void Connection::withdraw(AttemptId attempt_id) {
   const bool is_sending = state_ == State::kWriting && !response_.is_streaming();
-  if (state_ == State::kConnecting || is_sending) stop(attempt_id, Outcome::kNotSent);
+  if (state_ != State::kConnecting && !is_sending) return;
+  const bool is_blocked = is_waiting_writable_ && timer_.time_without_progress() >= kBlockedTime;
+  stop(attempt_id, is_blocked ? Outcome::kConnectFailed : Outcome::kNotSent);
 }
 
 void Connection::set_idle() {
--- a/node/upstream/connection.h
+++ b/node/upstream/connection.h
@@ -18,6 +18,9 @@
 
 // A connection that has been idle for less than this is rarely stale.
 constexpr Seconds kFreshIdleTime = 0.1;
+// A server that takes no byte of a request for this long is blocked. Less than the 0.5 s after its timeout by
+// which a client must have its response.
+constexpr Seconds kBlockedTime = 0.4;
 
 // Carries one attempt at a time. Owned by its pool while the connection is idle or being established, and by
 // the pending operations on its socket.
@@ -40,7 +43,8 @@
 
   // Ends an attempt unless it has already ended.
   void stop(AttemptId attempt_id, balancer::Outcome outcome);
-  // Ends an attempt as not sent unless its request has been written completely, or its response has begun.
+  // Ends an attempt unless its request has been written completely, or its response has begun. The attempt
+  // ends as not sent, or as failed if its server has taken no bytes for a while.
   void withdraw(AttemptId attempt_id);
 
   AttemptHandle handle() { return {weak_from_this(), attempt_id_}; }
--- a/node/upstream/connection_pool.h
+++ b/node/upstream/connection_pool.h
@@ -34,7 +34,7 @@
   // Ends an attempt unless it has already ended.
   void stop(const AttemptHandle& attempt, balancer::Outcome outcome);
 
-  // Ends an attempt as not sent unless its request has been written completely, or its response has begun.
+  // See Connection::withdraw().
   void withdraw(const AttemptHandle& attempt);
 
   // Applies a snapshot or an incremental list. The cost is proportional to the number of endpoints in the
--- a/tests/support/loopback_socket.cpp
+++ b/tests/support/loopback_socket.cpp
@@ -79,6 +79,10 @@
   return connection;
 }
 
+void TestSocket::limit_send_buffer(int bytes) const {
+  setsockopt(descriptor_.get(), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
 int TestSocket::local_port() const { return bound_port(descriptor_.get()); }
 
 void TestSocket::send(const std::string& text) const {
--- a/tests/support/loopback_socket.h
+++ b/tests/support/loopback_socket.h
@@ -21,6 +21,9 @@
   // Connects to a port. Throws std::system_error, whose text has the address, if the connection fails.
   static TestSocket connect_to(int port);
 
+  // Limits how many sent bytes the system holds for this side.
+  void limit_send_buffer(int bytes) const;
+
   int local_port() const;
   bool is_open() const { return descriptor_.is_open(); }
   // Gives up ownership of the descriptor. Must not be called after a read, because buffered data would be
