Idle client connections free the body of their last response

Cause: ResponseWriter::reset() assigned an empty response. libstdc++ keeps the buffer of the string that is assigned to, so each keep-alive connection held the memory of its last body, up to 64 KiB, in no budget. Change: the response is destroyed after use.

--- a/node/downstream/response_writer.cpp
+++ b/node/downstream/response_writer.cpp
@@ -45,20 +45,20 @@
 void ResponseWriter::begin(dispatch::DownstreamResponse&& response, const Options& options) {
   is_chunked_ = has_unknown_length(response) && options.client_reads_chunks;
   piece_ = format_head(response, options.close_connection, is_chunked_);
-  response_ = std::move(response);
-  if (options.head_only) response_.body.clear();
+  response_.emplace(std::move(response));
+  if (options.head_only) response_->body.clear();
   is_first_piece_ = true;
-  stream_ = std::exchange(response_.streamed_body, nullptr);
+  stream_ = std::exchange(response_->streamed_body, nullptr);
 }
 
 void ResponseWriter::reset() {
-  piece_.clear();
-  response_ = {};
+  std::string().swap(piece_);
+  response_.reset();
 }
 
 std::array<boost::asio::const_buffer, 2> ResponseWriter::buffers() const {
   return {boost::asio::buffer(piece_),
-          is_first_piece_ ? boost::asio::buffer(response_.body) : boost::asio::const_buffer()};
+          is_first_piece_ ? boost::asio::buffer(response_->body) : boost::asio::const_buffer()};
 }
 
 ResponseWriter::Next ResponseWriter::next() {
--- a/node/downstream/response_writer.h
+++ b/node/downstream/response_writer.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "node/dispatch/messages.h"
@@ -43,9 +44,11 @@
   void abandon();
 
  private:
-  std::string piece_;                      // the head, or bytes of a streamed body
-  dispatch::DownstreamResponse response_;  // the response's body is written after the head
-  bool is_first_piece_ = false;            // the first piece has the head and, unless streamed, the body
+  std::string piece_;  // the head, or bytes of a streamed body
+  // The response whose body is written after the head. Destroyed after use: an assignment would keep the
+  // memory of the body.
+  std::optional<dispatch::DownstreamResponse> response_;
+  bool is_first_piece_ = false;  // the first piece has the head and, unless streamed, the body
   bool is_chunked_ = false;
   std::shared_ptr<memory::BodyStream> stream_;
 };
--- /dev/null
+++ b/tests/node/crowd_memory_test.cpp
@@ -0,0 +1,64 @@
+// Hundreds of clients and servers whose messages are costly to hold: the node stays within the least memory
+// that the operators give it.
+#include <sys/resource.h>
+
+#include <cstddef>
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "support/long_timeout_fixture.h"
+
+namespace asterdrift::node::testing {
+namespace {
+
+constexpr int kLeastMemoryMb = 32;
+constexpr int kDescriptors = 1024;
+
+#ifndef __SANITIZE_ADDRESS__
+constexpr std::size_t kClients = 540;
+constexpr long kMaxPeakMemoryKb = kLeastMemoryMb * 1024L;
+#else
+constexpr std::size_t kClients = 60;
+// No limit, since the sanitizers use additional memory.
+constexpr long kMaxPeakMemoryKb = std::numeric_limits<long>::max();
+#endif
+
+// Lets this process open as many descriptors as the system allows.
+void raise_descriptor_limit() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+struct CrowdFixture : LongTimeoutFixture {
+  CrowdFixture() {
+    raise_descriptor_limit();
+    config.max_memory_mb = kLeastMemoryMb;
+    config.max_sockets = kDescriptors;
+    start_with_one_server();
+  }
+
+  void expect_memory_within_limit() const { EXPECT_LT(node->peak_memory_kb(), kMaxPeakMemoryKb); }
+};
+
+// Guards against idle keep-alive connections that hold the memory of their last response's body.
+TEST(CrowdMemory, ServedConnectionsHoldNoBodies) {
+  CrowdFixture fixture;
+  const std::string body(60000, 'b');
+  std::vector<TestSocket> clients(kClients);
+  TestSocket server;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients[i] = fixture.connect_client();
+    clients[i].send(request_with_id("close", "r" + std::to_string(i)));
+    if (!server.is_open()) server = fixture.servers[0].accept();
+    server.read_message();
+    server.send(ok_response(body));
+    EXPECT_EQ(clients[i].read_message().size(), ok_response(body).size());
+  }
+  fixture.expect_memory_within_limit();
+}
+
+}  // namespace
+}  // namespace asterdrift::node::testing
