Heads of requests and responses have at most 100 header fields

Cause: only the bytes of a head were limited. Beast takes some 80 bytes for each field, so that 8 KiB of four-byte fields take 170 kB of each connection, in no budget. The same holds for the heads of servers and of the admin server's clients. Change: http::HeadLimit counts lines before they are parsed; 431 for requests, an unusable response for servers. The fields of a request are freed when they have been read, before its body arrives. Requests with up to 100 fields are served as before.

--- a/node/admin/admin_connection.cpp
+++ b/node/admin/admin_connection.cpp
@@ -35,7 +35,7 @@
 }  // namespace
 
 AdminConnection::AdminConnection(const AdminCallbacks& callbacks, tcp::socket socket)
-    : callbacks_(callbacks), socket_(std::move(socket)), state_since_(now()) {
+    : callbacks_(callbacks), socket_(std::move(socket)), state_since_(now()), head_limit_(kMaxHeadBytes) {
   // The body is not read. If no limit were set, Beast 1.74 would reject every Content-Length as too large.
   parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
@@ -99,12 +99,12 @@
 }
 
 void AdminConnection::parse() {
+  if (head_limit_.has_too_many_fields(input_)) return respond(http::kHeaderFieldsTooLarge);
   error_code error;
   const std::size_t used = parser_.put(asio::buffer(input_), error);
+  head_limit_.add_parsed(std::string_view(input_).substr(0, used));
   input_.erase(0, used);
-  parsed_bytes_ += used;
-  // Beast's own limit does not count the lines that are complete.
-  const bool is_too_long = parsed_bytes_ + input_.size() > kMaxHeadBytes;
+  const bool is_too_long = head_limit_.is_too_long() || input_.size() > kMaxHeadBytes;
   if (is_too_long || error == beast_http::error::header_limit) return respond(http::kHeaderFieldsTooLarge);
   if (parser_.is_header_done()) return handle_request();
   if (error && error != beast_http::error::need_more) return respond(http::kBadRequest);
--- a/node/admin/admin_connection.h
+++ b/node/admin/admin_connection.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "asterdrift/seconds.h"
+#include "node/http/head_limit.h"
 
 namespace asterdrift::node::admin {
 
@@ -54,7 +55,7 @@
   State state_ = State::kReading;
   bool has_received_bytes_ = false;  // whether a part of the request has arrived
   Seconds state_since_;              // time on the steady clock at which state_ was entered
-  std::size_t parsed_bytes_ = 0;     // how many bytes of the request's head have been parsed
+  http::HeadLimit head_limit_;
   std::size_t discarded_bytes_ = 0;  // received after the response
   std::string input_, output_;
   // Not eager, so that the parser stops at the end of the head.
--- a/node/downstream/request_parser.cpp
+++ b/node/downstream/request_parser.cpp
@@ -33,12 +33,12 @@
 RequestParser::Event RequestParser::parse(std::string_view& bytes) {
   const bool in_head = !parser_.is_header_done();
   if (in_head && has_folded_header(bytes)) throw RequestError(kBadRequest);
+  if (in_head && head_limit_.has_too_many_fields(bytes)) throw RequestError(kHeaderFieldsTooLarge);
   error_code error;
   const std::size_t used = parser_.put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  if (in_head) head_limit_.add_parsed(bytes.substr(0, used));
   bytes.remove_prefix(used);
-  // Beast's own limit for heads does not count complete lines.
-  if (in_head) head_bytes_ += used;
-  if (head_bytes_ > kMaxHeadBytes) throw RequestError(kHeaderFieldsTooLarge);
+  if (head_limit_.is_too_long()) throw RequestError(kHeaderFieldsTooLarge);
   if (error == beast_http::error::need_more) return Event::kNeedsMore;
   if (error) throw RequestError(to_status(error));
   if (in_head && parser_.is_header_done()) return Event::kHeadComplete;
--- a/node/downstream/request_parser.h
+++ b/node/downstream/request_parser.h
@@ -10,6 +10,7 @@
 
 #include "node/downstream/request_error.h"
 #include "node/http/body.h"
+#include "node/http/head_limit.h"
 
 namespace asterdrift::node::downstream {
 
@@ -36,6 +37,8 @@
 
   bool is_done() const { return parser_.is_done(); }
   const Head& head() const { return parser_.get().base(); }
+  // Frees the header fields of a complete head. The method, the target and the framing stay known.
+  void release_fields() { parser_.get().base().clear(); }
   boost::beast::http::verb method() const { return parser_.get().method(); }
   bool is_keep_alive() const { return parser_.get().keep_alive(); }
   // Whether the client can read a chunked response, as every HTTP/1.1 client can.
@@ -48,7 +51,7 @@
 
  private:
   boost::beast::http::request_parser<http::IncrementalBody> parser_;
-  std::size_t head_bytes_ = 0;
+  http::HeadLimit head_limit_{kMaxHeadBytes};
 };
 
 }  // namespace asterdrift::node::downstream
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -66,6 +66,7 @@
     throw RequestError(kServiceUnavailable, "no memory to spare");
   }
   if (boost::beast::iequals(head[beast_http::field::expect], "100-continue")) callbacks_.send_continue();
+  parser_->release_fields();
 }
 
 // Handles bytes of the body that have been parsed. Returns whether an upload begins.
--- a/node/upstream/response_parser.cpp
+++ b/node/upstream/response_parser.cpp
@@ -20,14 +20,14 @@
 
 }  // namespace
 
-ResponseParser::ResponseParser() { begin_message(); }
+ResponseParser::ResponseParser() : head_limit_(kMaxHeadBytes) { begin_message(); }
 
 // The parser is not eager: an eager parser of Beast 1.74 continues after a head that announces a body over
 // the limit.
 void ResponseParser::begin_message() {
   parser_.emplace();
   parser_->body_limit(memory::kMaxBodyBytes);
-  head_bytes_ = 0;
+  head_limit_ = http::HeadLimit(kMaxHeadBytes);
 }
 
 // Only bytes that cannot be parsed yet are kept: a connection that streams a long response holds no buffer
@@ -49,12 +49,13 @@
                                                     const std::function<void()>& on_body) {
   while (!bytes.empty() && !parser_->is_done()) {
     const bool in_head = !parser_->is_header_done();
+    if (in_head && head_limit_.has_too_many_fields(bytes)) return Result::kInvalid;
     error_code error;
     const std::size_t used = parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    if (in_head) head_limit_.add_parsed(bytes.substr(0, used));
     bytes.remove_prefix(used);
-    if (in_head) head_bytes_ += used;
     if (error && error != beast_http::error::need_more) return Result::kInvalid;
-    if (head_bytes_ > kMaxHeadBytes) return Result::kInvalid;
+    if (head_limit_.is_too_long()) return Result::kInvalid;
     if (in_head && parser_->is_header_done() && !has_unambiguous_length()) return Result::kInvalid;
     if (parser_->is_header_done() && !is_interim()) on_body();
     if (error == beast_http::error::need_more) break;
--- a/node/upstream/response_parser.h
+++ b/node/upstream/response_parser.h
@@ -11,6 +11,7 @@
 
 #include "asterdrift/balancer/events.h"
 #include "node/http/body.h"
+#include "node/http/head_limit.h"
 
 namespace asterdrift::node::upstream {
 
@@ -49,7 +50,7 @@
 
   std::string unparsed_;  // received bytes that cannot be parsed yet
   std::optional<boost::beast::http::response_parser<http::IncrementalBody>> parser_;
-  std::size_t head_bytes_ = 0;
+  http::HeadLimit head_limit_;
   int interim_responses_ = 0;
 };
 
--- a/tests/node/client_request_test.cpp
+++ b/tests/node/client_request_test.cpp
@@ -75,6 +75,9 @@
       {"400", "POST /api HTTP/1.1\r\nno colon\r\n\r\n"},
       {"431", "POST /api HTTP/1.1\r\nX: " + std::string(20000, 'x')},
       {"431", "POST /api HTTP/1.1\r\n" + repeated("X: y\r\n", 4000)},  // a head of many short lines
+      {"431", "POST /api HTTP/1.1\r\n" + repeated("X: y\r\n", 101) + "\r\n"},
+      {"431", "GET /other HTTP/1.1\r\n" + repeated("X: y\r\n", 101) + "\r\n"},
+      {"404", "GET /other HTTP/1.1\r\n" + repeated("X: y\r\n", 100) + "\r\n"},
       {"404", "GET /apis HTTP/1.1\r\n\r\n"},
       {"400", request("other")},
       {"400", request("mark", "Request-Timeout-Ms: soon\r\n")},
--- a/tests/node/crowd_memory_test.cpp
+++ b/tests/node/crowd_memory_test.cpp
@@ -14,12 +14,16 @@
 
 constexpr int kLeastMemoryMb = 32;
 constexpr int kDescriptors = 1024;
+// A head just under the node's limit of 8 KiB.
+constexpr std::size_t kShortFields = 1900;
 
 #ifndef __SANITIZE_ADDRESS__
 constexpr std::size_t kClients = 540;
+constexpr std::size_t kServerConnections = 440;
 constexpr long kMaxPeakMemoryKb = kLeastMemoryMb * 1024L;
 #else
 constexpr std::size_t kClients = 60;
+constexpr std::size_t kServerConnections = 40;
 // No limit, since the sanitizers use additional memory.
 constexpr long kMaxPeakMemoryKb = std::numeric_limits<long>::max();
 #endif
@@ -43,6 +47,32 @@
   void expect_memory_within_limit() const { EXPECT_LT(node->peak_memory_kb(), kMaxPeakMemoryKb); }
 };
 
+// Guards against heads whose parsed fields take twenty times the bytes that arrived.
+TEST(CrowdMemory, HeadsOfManyShortFieldsStayWithinTheLimit) {
+  CrowdFixture fixture;
+  std::vector<TestSocket> clients(kClients);
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients[i] = fixture.connect_client();
+    clients[i].send(request_head("close", "r" + std::to_string(i)) + repeated("a:\r\n", kShortFields));
+  }
+  for (TestSocket& client : clients) EXPECT_TRUE(contains(client.read_message(), "HTTP/1.1 431 "));
+  fixture.expect_memory_within_limit();
+}
+
+// Guards against the same heads in responses of servers.
+TEST(CrowdMemory, ResponseHeadsOfManyShortFieldsStayWithinTheLimit) {
+  CrowdFixture fixture;
+  std::vector<TestSocket> clients(kServerConnections), upstreams(kServerConnections);
+  for (std::size_t i = 0; i < kServerConnections; ++i) {
+    clients[i] = fixture.connect_client();
+    upstreams[i] = fixture.forward(clients[i], request_with_id("close", "r" + std::to_string(i)));
+  }
+  for (TestSocket& upstream : upstreams)
+    upstream.send("HTTP/1.1 200 OK\r\n" + repeated("a:\r\n", kShortFields));
+  for (TestSocket& client : clients) EXPECT_TRUE(contains(client.read_message(), "HTTP/1.1 502 "));
+  fixture.expect_memory_within_limit();
+}
+
 // Guards against idle keep-alive connections that hold the memory of their last response's body.
 TEST(CrowdMemory, ServedConnectionsHoldNoBodies) {
   CrowdFixture fixture;
