--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -16,13 +16,10 @@
 // Half of the budget is reserved for responses.
 std::size_t headroom_for_responses(const memory::MemoryBudget& budget) { return budget.size() / 2; }
 
-// Removes all but the last `unparsed` bytes, and frees the memory of an empty input.
+// Removes all but the last `unparsed` bytes, and frees their memory.
 void remove_parsed_bytes(std::string& input, std::size_t unparsed) {
-  if (unparsed == 0) {
-    std::string().swap(input);
-  } else {
-    input.erase(0, input.size() - unparsed);
-  }
+  if (unparsed == input.size()) return;
+  std::string(input, input.size() - unparsed).swap(input);
 }
 
 }  // namespace
@@ -65,6 +62,8 @@
   if (!body_reservation_.grow_to(length, headroom_for_responses(server_.body_budget))) {
     throw RequestError(kServiceUnavailable, "no memory to spare");
   }
+  // Without spare capacity, the body takes no more memory than is reserved for it.
+  parser_->body().reserve(length);
   if (boost::beast::iequals(head[beast_http::field::expect], "100-continue")) callbacks_.send_continue();
   parser_->release_fields();
 }
@@ -94,6 +93,7 @@
   upload_ = std::make_shared<memory::BodyStream>(server_.io, server_.body_budget,
                                                  memory::MemoryReservation(server_.body_budget));
   upload_->on_writable(callbacks_.on_upload_resumed);
+  parser_->body().shrink_to_fit();
 }
 
 dispatch::DownstreamRequest RequestReader::take_api_request() {
--- a/node/process/main.cpp
+++ b/node/process/main.cpp
@@ -14,6 +14,7 @@
 
 #include "asterdrift/seconds.h"
 #include "node/config/node_config.h"
+#include "node/memory/heap.h"
 #include "node/process/node.h"
 #include "node/telemetry/log.h"
 #include "node/timing/clock.h"
@@ -79,5 +80,6 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  asterdrift::node::memory::configure_heap();
   return asterdrift::node::process::run();
 }
--- a/node/upstream/response_receiver.cpp
+++ b/node/upstream/response_receiver.cpp
@@ -1,6 +1,7 @@
 // Buffers, streams or discards the body of a response.
 #include "node/upstream/response_receiver.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -30,9 +31,10 @@
     return BodyState::kReceiving;
   }
   const auto length = parser_->content_length();
-  const bool is_large =
-      body.size() > memory::kMaxBufferedBodyBytes || (length && *length > memory::kMaxBufferedBodyBytes);
-  if (is_large || !reservation_.grow_to(body.size())) return BodyState::kTooLarge;
+  const std::uint64_t expected_size = length.value_or(body.size());
+  const bool is_large = std::max<std::uint64_t>(body.size(), expected_size) > memory::kMaxBufferedBodyBytes;
+  if (is_large || !reservation_.grow_to(expected_size)) return BodyState::kTooLarge;
+  if (length) body.reserve(*length);  // the body takes no more memory than is reserved for it
   return length || parser_->is_done() ? BodyState::kReceiving : BodyState::kUnknownLength;
 }
 
@@ -40,6 +42,7 @@
                                                    memory::BodyStream::Callback on_writable) {
   stream_ = std::make_shared<memory::BodyStream>(io_, budget_, std::exchange(reservation_, {}));
   stream_->on_writable(std::move(on_writable));
+  parser_->body().shrink_to_fit();
   stream_->write(std::exchange(parser_->body(), {}));
   return {parser_->content_type(), parser_->content_length(), stream_, body_stream_sent_at};
 }
