The end of a client's connection is seen behind bytes that fill the receive buffer

Cause: whether the client had left was asked of the socket by its unread bytes and the FIN behind them. While the receive buffer is full, the FIN is still at the client. Change: pipelined bytes are read before the answer is believed, up to 12 MiB. Class: state that is asked of the system while it cannot know. Checked: has_client_disconnected() is the one place that decides this, for the first attempt, retries, hedged requests and the last byte of an upload.

--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -24,6 +24,10 @@
 using boost::system::error_code;
 using timing::now;
 
+// More than the sockets of a client and of this machine hold together. After this many bytes, the client was
+// still connected when the first of them were read.
+constexpr std::size_t kMaxReadAheadBytes = 12UL * 1024 * 1024;
+
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -119,7 +123,28 @@
   }
 }
 
-bool Connection::has_client_disconnected() { return net::has_peer_disconnected(socket_.native_handle()); }
+// The end of the connection is hidden behind unread bytes if these fill the receive buffer. Therefore
+// pipelined bytes are read first. Bytes of an upload are read only as fast as the server takes them.
+bool Connection::has_client_disconnected() {
+  for (std::size_t read_bytes = 0; read_bytes < kMaxReadAheadBytes;) {
+    const net::PeerState peer = net::probe_peer(socket_.native_handle());
+    if (peer != net::PeerState::kUnreadBytes || reader_.is_upload_arriving()) {
+      return peer == net::PeerState::kDisconnected;
+    }
+    const std::size_t size = read_pipelined();
+    if (size == 0) return false;
+    read_bytes += size;
+  }
+  return false;
+}
+
+// Returns how many bytes have been read.
+std::size_t Connection::read_pipelined() {
+  error_code ignored;
+  const net::TimestampedRead received = net::read_some(socket_, asio::buffer(server_.read_buffer), ignored);
+  input_.append_pipelined({server_.read_buffer.data(), received.size}, received.arrived_at);
+  return received.size;
+}
 
 // Keeps one wait pending, also while a response is awaited: otherwise a disconnection of the client would not
 // be noticed.
@@ -218,10 +243,11 @@
 
 // Called when the last byte of a streamed body has arrived.
 void Connection::finish_upload() {
+  const Seconds received_at = input_.parsed_bytes_arrived_at();
+  enter(State::kAwaitingResponse);
   if (has_client_disconnected()) return close();
   reader_.finish_upload();
-  enter(State::kAwaitingResponse);
-  if (request_id_) server_.dispatcher.on_body_received(*request_id_, input_.parsed_bytes_arrived_at());
+  if (request_id_) server_.dispatcher.on_body_received(*request_id_, received_at);
   wait_until_readable();
 }
 
@@ -247,12 +273,12 @@
   server_.check_not_in_flight(reader_.api_request()->client_request_id);
   if (server_.is_overloaded() || !server_.dispatcher.is_endpoint_list_current())
     throw RequestError(kServiceUnavailable);
+  dispatch::DownstreamRequest request = take_request();
   // The client may have disconnected while its request was unread in the socket.
   if (has_client_disconnected()) {
     close();
     return false;
   }
-  dispatch::DownstreamRequest request = take_request();
   if (next == State::kAwaitingResponse) reader_.release_parser();
   enter(next);
   accounting_.on_dispatched();
--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -63,6 +63,7 @@
   bool is_in(State state) const { return state_.current() == state; }
   bool awaits_response() const { return is_in(State::kAwaitingResponse) || is_in(State::kUploading); }
   bool has_client_disconnected();
+  std::size_t read_pipelined();
 
   void wait_until_readable();
   void read();
--- a/node/downstream/request_reader.h
+++ b/node/downstream/request_reader.h
@@ -53,6 +53,8 @@
   std::size_t max_read_bytes() const;
   // Whether nothing may be read until on_upload_resumed() is called.
   bool is_upload_full() const { return upload_ && upload_->is_full(); }
+  // Whether bytes of an upload's body have not been parsed yet.
+  bool is_upload_arriving() const { return upload_ && !parser_->is_done(); }
   // Releases the memory of the request. An unfinished upload is truncated.
   void release();
 
--- a/node/net/socket_probe.cpp
+++ b/node/net/socket_probe.cpp
@@ -14,7 +14,11 @@
 // error.
 ssize_t peek(int socket) {
   char byte = 0;
-  return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t size = 0;
+  do {
+    size = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  } while (size < 0 && errno == EINTR);
+  return size;
 }
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
@@ -28,11 +32,12 @@
   return ::ioctl(socket, FIONREAD, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
-bool has_peer_disconnected(int socket) {
+PeerState probe_peer(int socket) {
   const ssize_t size = peek(socket);
-  if (size <= 0) return size == 0 || (!would_block(errno) && errno != EINTR);
+  if (size < 0 && would_block(errno)) return PeerState::kQuiet;
+  if (size <= 0) return PeerState::kDisconnected;
   pollfd hang_up{socket, POLLRDHUP, 0};
-  return ::poll(&hang_up, 1, 0) > 0;
+  return ::poll(&hang_up, 1, 0) > 0 ? PeerState::kDisconnected : PeerState::kUnreadBytes;
 }
 
 bool has_waiting_connection(int listening_socket) {
--- a/tests/node/client_departure_test.cpp
+++ b/tests/node/client_departure_test.cpp
@@ -92,6 +92,34 @@
   }
 }
 
+// Guards against an end of the connection that stays unseen behind more bytes than the receive buffer holds.
+TEST(ClientDeparture, RequestBeforeMuchUnreadInputIsNotForwarded) {
+  for (const bool is_accepted : {false, true}) {
+    for (const std::size_t pipelined_bytes : {std::size_t{800000}, std::size_t{3500000}}) {
+      LongTimeoutFixture fixture;
+      fixture.start_with_one_server();
+      TestSocket departing = fixture.connect_client(), staying = fixture.connect_client();
+      if (is_accepted) {
+        departing.send("GET /healthz HTTP/1.1\r\n\r\n");
+        departing.read_message();
+      }
+      fixture.node->suspend();
+      if (!is_accepted) departing = fixture.connect_client();
+      departing.send_available(request_with_id("close", "left") + std::string(pipelined_bytes, 'x'));
+      departing.close();
+      staying.send(request_with_id("close", "there"));
+      fixture.node->resume();
+      TestSocket server = fixture.servers[0].accept();
+      EXPECT_TRUE(contains(server.read_message(), "Request-Id: there\r\n"));
+      server.send(ok_response());
+      EXPECT_TRUE(contains(staying.read_message(), " 200 "));
+      wait_until([&] { return fixture.metric("pending") == 0; });
+      EXPECT_EQ(fixture.metric("upstream_requests"), 1)
+          << "is_accepted " << is_accepted << ", " << pipelined_bytes << " pipelined bytes";
+    }
+  }
+}
+
 // The server reads nothing, which pauses the upload. The client's disconnection follows bytes of the upload
 // that the node has not read.
 TEST(ClientDeparture, UploadOfDepartedClientIsNotForwardedCompletely) {
