A request that may have run is not run again when its id comes back

Cause: ids were known only while a request was in flight in this process. The end of a cancelled attempt, its late response or another process forgot them. Class: state of one request kept for less time, and in fewer places, than its rule holds. Evidence, real processes: a work-order whose client left, sent again 0 and 1.5 s later: 2 runs each (with cancel), 1 and 2 (without); at both processes of an upgrade: 3 runs. Change: dispatch::RequestHistory, 16,384 hashes in 128 KiB, shared by the node's processes through a mapped file beside the lock file, or private where that file cannot be used. An id enters it with its first attempt, and leaves it if nothing ran or when its client has the response; a reset after that brings it back. Such a request gets 409. Requests of idempotent classes are not concerned. Tests changed: two tests sent one id again after its client had left or had got a 502. The protocol gives each request a new id, and the operators call the second run a fault; the tests send new ids now, every check stays.

--- a/node/dispatch/request_dispatcher.cpp
+++ b/node/dispatch/request_dispatcher.cpp
@@ -48,10 +48,12 @@
 
 RequestDispatcher::RequestDispatcher(boost::asio::io_context& io, const config::NodeConfig& config,
                                      memory::MemoryBudget& body_budget, telemetry::Metrics& metrics,
-                                     std::size_t max_upstream_connections, std::function<void()> start_watch)
+                                     std::size_t max_upstream_connections, RequestHistory& history,
+                                     std::function<void()> start_watch)
     : io_(io),
       balancer_(io, config, *this),
       pool_(io, config, body_budget, metrics, max_upstream_connections),
+      history_(history),
       start_watch_(std::move(start_watch)),
       config_(config) {}
 
@@ -68,6 +70,9 @@
 void RequestDispatcher::execute(const balancer::SendAttempt& action) {
   const std::shared_ptr<InFlightRequest> request = requests_.find(action.id);
   if (request == nullptr) return;
+  if (!is_repeatable(request->downstream_request)) {
+    history_.insert(request->downstream_request.client_request_id, now());
+  }
   const AttemptNumber number = request->add_attempt(now());
   if (!request->may_send_last_attempt()) {
     return handle_upstream_result(request->id, number, {Outcome::kNotSent, {}, {}, {}, 0});
@@ -82,14 +87,14 @@
   const std::shared_ptr<InFlightRequest> request = requests_.find(action.id);
   if (request == nullptr) return;
   respond(*request, {.status = kServiceUnavailable, .retry_after = action.retry_after});
-  requests_.remove_if_done(request->id);
+  remove_if_done(request->id);
 }
 
 void RequestDispatcher::execute(const balancer::FailRequest& action) {
   const std::shared_ptr<InFlightRequest> request = requests_.find(action.id);
   if (request == nullptr) return;
   respond(*request, {.status = kBadGateway});
-  requests_.remove_if_done(request->id);
+  remove_if_done(request->id);
 }
 
 void RequestDispatcher::execute(const balancer::CancelAttempt& action) {
@@ -128,7 +133,7 @@
 }
 
 void RequestDispatcher::on_attempt_result_handled(const balancer::AttemptResult& result) {
-  if (const std::optional<RequestId> id = parse_request_id(result.id)) requests_.remove_if_done(*id);
+  if (const std::optional<RequestId> id = parse_request_id(result.id)) remove_if_done(*id);
 }
 
 RequestId RequestDispatcher::dispatch(DownstreamRequest request, ResponseCallback on_response) {
@@ -184,6 +189,29 @@
   return is_arriving ? request : nullptr;
 }
 
+bool RequestDispatcher::is_repeatable(const DownstreamRequest& request) const {
+  const std::size_t request_class = request.balancer_request.request_class;
+  return config_.settings.classes[request_class].idempotency == balancer::Idempotency::kIdempotent;
+}
+
+bool RequestDispatcher::may_have_run(const DownstreamRequest& request) const {
+  return !is_repeatable(request) && history_.contains(request.client_request_id, now());
+}
+
+void RequestDispatcher::on_response_delivered(const std::string& client_request_id) {
+  history_.erase(client_request_id);
+}
+
+void RequestDispatcher::on_response_lost(const std::string& client_request_id) {
+  history_.insert(client_request_id, now());
+}
+
+void RequestDispatcher::remove_if_done(RequestId id) {
+  const std::shared_ptr<InFlightRequest> request = requests_.remove_if_done(id);
+  const bool has_run = request == nullptr || request->may_have_run();
+  if (!has_run) history_.erase(request->downstream_request.client_request_id);
+}
+
 void RequestDispatcher::on_client_disconnected(RequestId id) {
   const std::shared_ptr<InFlightRequest> request = requests_.find(id);
   if (request == nullptr || !request->awaits_response()) return;
@@ -222,7 +250,7 @@
 
 void RequestDispatcher::abort(RequestId id) {
   balancer_.handle_event(balancer::RequestAborted{to_text(id)});
-  requests_.remove_if_done(id);
+  remove_if_done(id);
 }
 
 void RequestDispatcher::expire_all_requests() {
--- a/node/dispatch/request_dispatcher.h
+++ b/node/dispatch/request_dispatcher.h
@@ -11,6 +11,7 @@
 #include "node/dispatch/balancer_host.h"
 #include "node/dispatch/in_flight_request.h"
 #include "node/dispatch/messages.h"
+#include "node/dispatch/request_history.h"
 #include "node/dispatch/request_id.h"
 #include "node/dispatch/request_table.h"
 #include "node/upstream/connection_pool.h"
@@ -20,11 +21,12 @@
 // Each accepted request gets exactly one final response, unless its client disconnects first.
 class RequestDispatcher : private BalancerActionHandler {
  public:
-  // start_watch: called when the balancer requests a watch on discovery. config has to outlive the
-  // dispatcher.
+  // start_watch: called when the balancer requests a watch on discovery. config, body_budget, metrics and
+  // history have to outlive the dispatcher.
   RequestDispatcher(boost::asio::io_context& io, const config::NodeConfig& config,
                     memory::MemoryBudget& body_budget, telemetry::Metrics& metrics,
-                    std::size_t max_upstream_connections, std::function<void()> start_watch);
+                    std::size_t max_upstream_connections, RequestHistory& history,
+                    std::function<void()> start_watch);
 
   void start();
 
@@ -46,6 +48,17 @@
     return requests_.contains_client_request_id(client_request_id);
   }
 
+  // Whether requests of this class may run any number of times.
+  bool is_repeatable(const DownstreamRequest& request) const;
+  // Whether a request with this Request-Id may have run, in any process of this node, and its client is not
+  // known to have its response. Always false for repeatable requests.
+  bool may_have_run(const DownstreamRequest& request) const;
+  // The client has the complete response: from now on the client alone decides whether the request may run
+  // again.
+  void on_response_delivered(const std::string& client_request_id);
+  // After on_response_delivered(): the client turned out to have left without reading the response.
+  void on_response_lost(const std::string& client_request_id);
+
   // The client has disconnected and awaits no response to this request.
   void on_client_disconnected(RequestId id);
 
@@ -77,6 +90,7 @@
   void on_action_failed(const std::string& id) override;
   void on_attempt_result_handled(const balancer::AttemptResult& result) override;
 
+  void remove_if_done(RequestId id);
   std::shared_ptr<InFlightRequest> find_arriving(RequestId id);
   void expire_at(InFlightRequest& request, Seconds time);
   bool is_response_awaited(RequestId id);
@@ -95,6 +109,7 @@
   boost::asio::io_context& io_;
   BalancerHost balancer_;
   upstream::ConnectionPool pool_;
+  RequestHistory& history_;
   const std::function<void()> start_watch_;
   const config::NodeConfig& config_;
   RequestTable requests_;
--- a/node/dispatch/request_table.cpp
+++ b/node/dispatch/request_table.cpp
@@ -20,13 +20,14 @@
   return id ? find(*id) : nullptr;
 }
 
-void RequestTable::remove_if_done(RequestId id) {
+std::shared_ptr<InFlightRequest> RequestTable::remove_if_done(RequestId id) {
   const auto it = requests_.find(id);
-  if (it == requests_.end()) return;
-  const InFlightRequest& request = *it->second;
-  if (request.awaits_response() || request.has_open_attempts()) return;
-  client_request_ids_.erase(request.downstream_request.client_request_id);
+  if (it == requests_.end()) return nullptr;
+  const std::shared_ptr<InFlightRequest> request = it->second;
+  if (request->awaits_response() || request->has_open_attempts()) return nullptr;
+  client_request_ids_.erase(request->downstream_request.client_request_id);
   requests_.erase(it);
+  return request;
 }
 
 std::vector<RequestId> RequestTable::ids() const {
--- a/node/dispatch/request_table.h
+++ b/node/dispatch/request_table.h
@@ -22,8 +22,9 @@
   // Null if no such request is in flight. Shared, since a callback may remove the request from the table.
   std::shared_ptr<InFlightRequest> find(RequestId id) const;
   std::shared_ptr<InFlightRequest> find(const std::string& id_text) const;
-  // Removes a request unless it awaits its final response or has an open attempt.
-  void remove_if_done(RequestId id);
+  // Removes a request unless it awaits its final response or has an open attempt. Returns the request; null
+  // if nothing has been removed.
+  std::shared_ptr<InFlightRequest> remove_if_done(RequestId id);
 
   // Whether a request with this value of the Request-Id header is in the table. A request stays in the table
   // after its final response while it has open attempts.
--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -166,7 +166,7 @@
   const net::TimestampedRead received =
       net::read_some(socket_, asio::buffer(server_.read_buffer, max_bytes), error);
   if (error == asio::error::would_block) return wait_until_readable();
-  if (error) return close();
+  if (error) return on_read_failed(error);
   if (is_in(State::kClosing)) {
     discarded_bytes_ += received.size;
     return discarded_bytes_ > memory::kMaxBodyBytes ? close() : wait_until_readable();
@@ -185,7 +185,15 @@
   parse();
 }
 
+// A client that closes its connection while bytes are unread resets the connection.
+void Connection::on_read_failed(const error_code& error) {
+  if (is_delivered_ && error != asio::error::eof) server_.dispatcher.on_response_lost(unrepeatable_id_);
+  close();
+}
+
 void Connection::begin_request() {
+  is_delivered_ = false;
+  std::string().swap(unrepeatable_id_);
   reader_.begin(now());
   enter(State::kReading);
 }
@@ -270,10 +278,11 @@
   if (reader_.method() != beast_http::verb::post && reader_.has_body()) {
     throw RequestError(kBadRequest, "a body where none belongs");
   }
-  server_.check_not_in_flight(reader_.api_request()->client_request_id);
+  server_.check_is_new(*reader_.api_request());
   if (server_.is_overloaded() || !server_.dispatcher.is_endpoint_list_current())
     throw RequestError(kServiceUnavailable);
   dispatch::DownstreamRequest request = take_request();
+  if (!server_.dispatcher.is_repeatable(request)) unrepeatable_id_ = request.client_request_id;
   // The client may have disconnected while its request was unread in the socket.
   if (has_client_disconnected()) {
     close();
@@ -353,6 +362,7 @@
   accounting_.on_response_written(reader_.request_class(), response_status_);
   reader_.clear_request_class();
   has_responded_ = true;
+  record_delivery();
   input_.release_reservation();
   // After a response without "Connection: close" the client goes on using the connection, which therefore
   // stays open even if server_.closes_after_responses has been set since the response was begun.
@@ -366,6 +376,13 @@
   parse();
 }
 
+void Connection::record_delivery() {
+  const bool has_result = response_status_ == kOk && !unrepeatable_id_.empty();
+  if (!has_result || net::has_peer_reset(socket_.native_handle())) return;
+  server_.dispatcher.on_response_delivered(unrepeatable_id_);
+  is_delivered_ = true;
+}
+
 // A truncated response must not look complete. If the response has neither a length nor chunks, only a reset
 // of the connection tells the client that bytes are missing.
 void Connection::on_response_truncated() {
--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "asterdrift/seconds.h"
 #include "node/dispatch/request_id.h"
@@ -67,6 +68,7 @@
 
   void wait_until_readable();
   void read();
+  void on_read_failed(const boost::system::error_code& error);
   void begin_request();
   void parse();
   bool parse_next();
@@ -85,6 +87,7 @@
   void reject(const RequestError& error);
   void respond(dispatch::DownstreamResponse&& response, bool close_connection = false);
   bool must_close_after_response() const;
+  void record_delivery();
   void begin_closing();
 
   // ResponseSenderOwner.
@@ -117,6 +120,9 @@
   bool is_head_request_ = false;
   unsigned response_status_ = 0;
   bool closes_after_response_ = false;
+  // The Request-Id of the last request if the request must not run again; otherwise empty.
+  std::string unrepeatable_id_;
+  bool is_delivered_ = false;  // whether the client has the response to unrepeatable_id_
 };
 
 }  // namespace asterdrift::node::downstream
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -55,7 +55,7 @@
   if (RequestValidator::parse_path(head) == "/api") {
     request_.emplace(server_.validator.parse_api_request(head));
     request_class_ = request_->balancer_request.request_class;
-    server_.check_not_in_flight(request_->client_request_id);
+    server_.check_is_new(*request_);
   }
   const std::uint64_t length =
       std::min<std::uint64_t>(parser_->content_length().value_or(0), memory::kMaxBufferedBodyBytes);
--- a/node/downstream/server_state.h
+++ b/node/downstream/server_state.h
@@ -70,10 +70,13 @@
     return busy_connections > max_connections - max_connections / kReservedConnectionsDivisor;
   }
   bool has_too_many_connections() const { return connections > max_connections; }
-  // Throws RequestError if a request with this Request-Id is in flight: if a second one were dispatched, the
-  // request might run twice, or a response might go to the wrong client.
-  void check_not_in_flight(const std::string& client_request_id) const {
-    if (dispatcher.is_in_flight(client_request_id)) throw RequestError(kConflict, "this Request-Id is open");
+  // Throws RequestError if a request with this Request-Id is in flight or may have run: if a second one were
+  // dispatched, the request might run twice, or a response might go to the wrong client.
+  void check_is_new(const dispatch::DownstreamRequest& request) const {
+    if (dispatcher.is_in_flight(request.client_request_id)) {
+      throw RequestError(kConflict, "this Request-Id is open");
+    }
+    if (dispatcher.may_have_run(request)) throw RequestError(kConflict, "this Request-Id may have run");
   }
 
   boost::asio::io_context& io;
--- a/node/net/socket_probe.cpp
+++ b/node/net/socket_probe.cpp
@@ -40,6 +40,11 @@
   return ::poll(&hang_up, 1, 0) > 0 ? PeerState::kDisconnected : PeerState::kUnreadBytes;
 }
 
+bool has_peer_reset(int socket) {
+  pollfd failure{socket, 0, 0};  // POLLERR and POLLHUP are always reported
+  return ::poll(&failure, 1, 0) > 0;
+}
+
 bool has_waiting_connection(int listening_socket) {
   pollfd acceptable{listening_socket, POLLIN, 0};
   return ::poll(&acceptable, 1, 0) > 0;
--- a/node/net/socket_probe.h
+++ b/node/net/socket_probe.h
@@ -20,6 +20,10 @@
 // The end of the connection arrives behind unread bytes only if there is room for them in the receive buffer.
 PeerState probe_peer(int socket);
 
+// Whether the peer's system has reset the connection, as it does if the peer closes the connection before it
+// has read all bytes that were sent.
+bool has_peer_reset(int socket);
+
 // Whether a connection waits to be accepted by a listening socket.
 bool has_waiting_connection(int listening_socket);
 
--- a/node/process/node.h
+++ b/node/process/node.h
@@ -63,6 +63,7 @@
   const Seconds started_at_;
   discovery::DiscoveryClient discovery_;
   memory::MemoryBudget body_budget_;
+  dispatch::RequestHistory request_history_;
   telemetry::Metrics metrics_;
   dispatch::RequestDispatcher dispatcher_;
   downstream::Server server_;
--- a/node/process/process_group.cpp
+++ b/node/process/process_group.cpp
@@ -1,12 +1,13 @@
 #include "node/process/process_group.h"
 
 #include <fcntl.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <string>
 
+#include "node/memory/shared_memory.h"
+
 namespace asterdrift::node::process {
 namespace {
 
@@ -14,6 +15,9 @@
 // other processes by their locks on the file of this name.
 constexpr const char* kLockFilePrefix = "nettlestand-";
 constexpr const char* kLockFileSuffix = ".lock";
+// The number is the version of the format.
+constexpr const char* kHistoryFilePrefix = "load-balancer-node-";
+constexpr const char* kHistoryFileSuffix = ".requests-1";
 
 // The lock file has a slot for each process, with a byte for each state.
 constexpr int kMaxProcesses = 8;
@@ -44,25 +48,23 @@
 
 int state_byte(int slot, ProcessGroup::State state) { return slot * kStates + static_cast<int>(state); }
 
-std::string lock_file_path(const char* directory, const boost::asio::ip::tcp::endpoint& address) {
-  return std::string(directory) + "/" + kLockFilePrefix + address.address().to_string() + "-" +
-         std::to_string(address.port()) + kLockFileSuffix;
-}
-
-bool is_own_regular_file(int file) {
-  struct stat status {};
-  return ::fstat(file, &status) == 0 && S_ISREG(status.st_mode) && status.st_uid == ::geteuid();
+// The path of a file of the node with this address.
+std::string file_path(const char* directory, const char* prefix,
+                      const boost::asio::ip::tcp::endpoint& address, const char* suffix) {
+  return std::string(directory) + "/" + prefix + address.address().to_string() + "-" +
+         std::to_string(address.port()) + suffix;
 }
 
 }  // namespace
 
 ProcessGroup::ProcessGroup(const char* directory, const boost::asio::ip::tcp::endpoint& listen_address) {
   if (directory == nullptr || *directory == 0 || listen_address.port() == 0) return;
-  const std::string path = lock_file_path(directory, listen_address);
+  const std::string path = file_path(directory, kLockFilePrefix, listen_address, kLockFileSuffix);
   const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_NOFOLLOW | O_NONBLOCK, 0600);
   if (file < 0) return;
-  if (is_own_regular_file(file) && take_slot(file)) {
+  if (memory::is_own_regular_file(file) && take_slot(file)) {
     file_ = file;
+    request_history_path_ = file_path(directory, kHistoryFilePrefix, listen_address, kHistoryFileSuffix);
     older_processes_ = others();
   } else {
     ::close(file);
--- a/node/process/process_group.h
+++ b/node/process/process_group.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace asterdrift::node::process {
@@ -30,6 +31,9 @@
   ProcessGroup(const ProcessGroup&) = delete;
   ProcessGroup& operator=(const ProcessGroup&) = delete;
 
+  // The path of the file in which the node's processes remember requests; empty if no other process can
+  // detect this one.
+  const std::string& request_history_path() const { return request_history_path_; }
   // Whether other processes can detect this one.
   bool is_detectable() const { return file_ >= 0; }
   // Publishes a state, or withdraws it if is_active is false.
@@ -47,6 +51,7 @@
   // The other processes that are alive now.
   std::vector<pid_t> others() const;
 
+  std::string request_history_path_;
   int file_ = -1;  // descriptor of the lock file
   // The index of the slot that this process has taken in the lock file. A slot has a byte for each state.
   int slot_ = 0;
--- a/tests/node/client_departure_test.cpp
+++ b/tests/node/client_departure_test.cpp
@@ -120,6 +120,60 @@
   }
 }
 
+// Guards against a request that runs twice, since its client left and sent it again.
+TEST(ClientDeparture, RequestIdOfDepartedClientDoesNotRunAgain) {
+  for (const bool may_cancel : {false, true}) {
+    for (const bool server_responds : {false, true}) {
+      for (const Departure departure : kCloseAndReset) {
+        LongTimeoutFixture fixture;
+        fixture.config.may_cancel = may_cancel;
+        auto [client, server] = fixture.start_with_forwarded_request(request_with_id("close", "once"));
+        depart(client, departure);
+        wait_until([&] { return fixture.metric("pending") == 0; });
+        if (server_responds) server.send(ok_response());
+        TestSocket again = fixture.connect_client();
+        again.send(request_with_id("close", "once"));
+        EXPECT_TRUE(contains(again.read_message(), "HTTP/1.1 409 "))
+            << "may_cancel " << may_cancel << ", " << name_of(departure);
+        EXPECT_EQ(fixture.metric("upstream_requests"), 1);
+      }
+    }
+  }
+}
+
+// Guards against the same after a response that the client has not read.
+TEST(ClientDeparture, RequestIdOfUnreadResponseDoesNotRunAgain) {
+  LongTimeoutFixture fixture;
+  auto [client, server] = fixture.start_with_forwarded_request(request_with_id("close", "once"));
+  server.send(ok_response());
+  wait_until([&] { return fixture.metric("pending") == 0; });
+  client.close();  // with unread bytes, which resets the connection
+  TestSocket again = fixture.connect_client();
+  again.send(request_with_id("close", "once"));
+  EXPECT_TRUE(contains(again.read_message(), "HTTP/1.1 409 "));
+  EXPECT_EQ(fixture.metric("upstream_requests"), 1);
+}
+
+// A request that no server has begun, and one that may run any number of times, may come again.
+TEST(ClientDeparture, RequestIdThatHasNotRunMayComeAgain) {
+  LongTimeoutFixture fixture;
+  auto [client, server] = fixture.start_with_forwarded_request(request_with_id("close", "rejected"));
+  server.send(not_started_response_with_close());
+  wait_until([&] { return !client.is_idle() || !fixture.servers[0].is_idle(); });
+  while (client.is_idle()) {
+    TestSocket next = fixture.servers[0].accept();
+    next.read_message();
+    next.send(not_started_response_with_close());
+    client.is_idle(100ms);
+  }
+  EXPECT_TRUE(contains(client.read_message(), "HTTP/1.1 503 "));
+  client.close();
+  TestSocket again = fixture.connect_client();
+  TestSocket next = fixture.forward(again, request_with_id("close", "rejected"));
+  next.send(ok_response());
+  EXPECT_TRUE(contains(again.read_message(), " 200 "));
+}
+
 // The server reads nothing, which pauses the upload. The client's disconnection follows bytes of the upload
 // that the node has not read.
 TEST(ClientDeparture, UploadOfDepartedClientIsNotForwardedCompletely) {
--- a/tests/node/race_conditions_test.cpp
+++ b/tests/node/race_conditions_test.cpp
@@ -45,7 +45,7 @@
       fixture.node->resume();
       wait_until([&] { return fixture.metric("pending") == 0; });
       TestSocket next_client = fixture.connect_client();
-      next_client.send(request("close", "", "next"));
+      next_client.send(request("close", "", "next", "r2"));
       wait_until(
           [&, &first_server = server] { return !first_server.is_idle() || !fixture.servers[0].is_idle(); });
       std::string forwarded = server.is_idle() ? "" : server.read_message();
--- a/tests/node/replacement_test.cpp
+++ b/tests/node/replacement_test.cpp
@@ -286,5 +286,30 @@
   EXPECT_TRUE(contains(fixture.response_to("a"), " 200 "));
 }
 
+// Guards against a request that runs at both processes, since its client left the first and sent it again.
+TEST(Replacement, RequestIdOfDepartedClientDoesNotRunAtTheSuccessor) {
+  ReplacementFixture fixture;
+  TestSocket old_watch, new_watch;
+  const auto predecessor = fixture.start_ready(old_watch);
+  TestSocket client = fixture.connect_to_node();
+  client.send(request_with_id("close", "once"));
+  TestSocket server = fixture.servers[0].accept();
+  EXPECT_TRUE(contains(server.read_message(), "Request-Id: once\r\n"));
+  const auto successor = fixture.start_ready(new_watch);
+  client.close();
+  wait_until([&] { return ReplacementFixture::pending_requests(*predecessor) == 0; });
+  predecessor->signal(SIGTERM);
+  wait_until([&] {
+    TestSocket other = fixture.connect_to_node();
+    other.send(request_with_id("close", "once"));
+    EXPECT_TRUE(contains(other.read_message(), "HTTP/1.1 409 "));
+    return contains(successor->read_log_until(kOnlyProcessLogText), kOnlyProcessLogText);
+  });
+  TestSocket again = fixture.connect_to_node();
+  again.send(request_with_id("close", "once"));
+  EXPECT_TRUE(contains(again.read_message(), "HTTP/1.1 409 "));
+  EXPECT_TRUE(fixture.servers[0].is_idle());
+}
+
 }  // namespace
 }  // namespace asterdrift::node::testing
--- a/tests/node/upstream_connection_test.cpp
+++ b/tests/node/upstream_connection_test.cpp
@@ -49,23 +49,23 @@
     server.send(ok_response());
     EXPECT_TRUE(contains(client.read_message(), " 200 "));
   };
-  client.send(request("close"));
+  client.send(request_with_id("close", "r1"));
   TestSocket first = fixture.servers[0].accept();
   expect_served_by(first);
   EXPECT_TRUE(first.is_idle(150ms)) << "the keep-alive connection stays open";
-  client.send(request("close"));
+  client.send(request_with_id("close", "r2"));
   first.read_message();
   first.reset();
   EXPECT_TRUE(contains(client.read_message(), "HTTP/1.1 502 "));
-  client.send(request("close"));
+  client.send(request_with_id("close", "r3"));
   TestSocket second = fixture.servers[0].accept();
   expect_served_by(second);
   EXPECT_TRUE(second.is_idle(150ms));
-  client.send(request("close"));
+  client.send(request_with_id("close", "r4"));
   TestSocket third = fixture.servers[0].accept();
   expect_served_by(third);
   EXPECT_TRUE(third.is_idle(150ms));
-  client.send(request("mark"));  // may be retried, but only within the deduplication window
+  client.send(request_with_id("mark", "r5"));  // may be retried, but only within the deduplication window
   TestSocket fourth = fixture.servers[0].accept();
   expect_served_by(fourth);
 }
