Uploads that a server reads slowly get their response in time

Cause: the time counted from bytes that the node had seen. Up to 4 MiB wait in the client's own socket, and each byte that the server took ended the deadline of a blocked upload. A short read was taken for an empty socket, though the client's system sends more at once. Change: UploadProgress knows how many bytes a client can have sent at most at earlier moments (what had arrived, and 4 MiB), and so the earliest time of the last byte, also without a length; the request's time counts from then while bytes are unread. Uploads that take long since their client or server is steadily slow are served as before (the other tests of BlockedUpload).

--- a/node/dispatch/request_dispatcher.cpp
+++ b/node/dispatch/request_dispatcher.cpp
@@ -177,6 +177,15 @@
   expire_at(*request, std::max(earliest, now() + std::min(upstream::kBlockedTime, timeout)));
 }
 
+void RequestDispatcher::on_body_maybe_sent(RequestId id, Seconds sent_after) {
+  const std::shared_ptr<InFlightRequest> request = find_arriving(id);
+  if (request == nullptr) return;
+  const Seconds timeout = request->downstream_request.timeout;
+  const Seconds deadline = RequestDeadline(sent_after, timeout).final_response_at();
+  if (now() >= deadline) return expire(id);
+  expire_at(*request, deadline);
+}
+
 void RequestDispatcher::on_body_resumed(RequestId id) {
   const std::shared_ptr<InFlightRequest> request = find_arriving(id);
   if (request != nullptr) request->deadline_timer.cancel();
--- a/node/dispatch/request_dispatcher.h
+++ b/node/dispatch/request_dispatcher.h
@@ -39,7 +39,10 @@
   // The server takes no more bytes of the request's body, which is therefore not read. The last byte may have
   // arrived as early as `unread_since`, so the request's timeout counts from then until on_body_resumed().
   void on_body_blocked(RequestId id, Seconds unread_since);
-  // The server has taken bytes of the request's body again.
+  // The last byte of the request's body has not been read, but its client may have sent it as early as
+  // `sent_after`, so the request's timeout counts from then until on_body_resumed().
+  void on_body_maybe_sent(RequestId id, Seconds sent_after);
+  // The server has taken bytes of the request's body again, or the client has not sent the last byte.
   void on_body_resumed(RequestId id);
 
   // Whether a request with this value of the Request-Id header has no final response yet, or has open
--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -79,15 +79,26 @@
   return true;
 }
 
-void Connection::probe_blocked_upload() {
-  if (!is_in(State::kUploading) || !reader_.is_paused()) return;
-  if (has_client_disconnected()) return close();
+void Connection::probe_upload() {
+  if (!is_in(State::kUploading) || !request_id_) return;
+  if (reader_.is_paused() && has_client_disconnected()) return close();
   const std::size_t unread = net::unread_bytes(socket_.native_handle());
-  if (request_id_ && reader_.is_upload_within(unread)) {
-    server_.dispatcher.on_body_received(*request_id_, now());
+  if (unread == 0) return on_upload_socket_empty();
+  upload_progress_.sample(now(), reader_.read_body_bytes() + unread);
+  const std::optional<Seconds> sent_after = upload_progress_.sent_after(reader_.min_body_bytes(unread));
+  if (reader_.is_paused() && reader_.is_upload_within(unread)) {
+    server_.dispatcher.on_body_received(*request_id_, sent_after.value_or(now()));
+  } else if (sent_after) {
+    server_.dispatcher.on_body_maybe_sent(*request_id_, *sent_after);
   }
 }
 
+// The client has not sent the last byte yet.
+void Connection::on_upload_socket_empty() {
+  upload_progress_.reset();
+  if (!reader_.is_paused()) server_.dispatcher.on_body_resumed(*request_id_);
+}
+
 Seconds Connection::receive_deadline(Seconds min_age) const {
   const Seconds began_at = has_responded_ ? reader_.began_at() : connected_at_;
   return std::max(began_at + min_age, reader_.receive_deadline());
@@ -173,7 +184,7 @@
   }
   const bool begins_request = !is_in(State::kReading) && !is_in(State::kUploading);
   if (begins_request) unread_since_ = received.arrived_at;
-  if (received.size < max_bytes) unread_since_ = now();  // the socket is empty
+  if (received.size < max_bytes && is_socket_empty()) unread_since_ = now();
   const std::string_view bytes(server_.read_buffer.data(), received.size);
   if (is_in(State::kAwaitingResponse) || is_in(State::kWriting)) {
     // Bytes left unread in the socket would hide a disconnection of the client.
@@ -191,7 +202,13 @@
   close();
 }
 
+// While an upload is read slowly, bytes that the client's system holds arrive as soon as others are read.
+bool Connection::is_socket_empty() {
+  return !is_in(State::kUploading) || net::unread_bytes(socket_.native_handle()) == 0;
+}
+
 void Connection::begin_request() {
+  upload_progress_.reset();
   is_delivered_ = false;
   std::string().swap(unrepeatable_id_);
   reader_.begin(now());
@@ -251,11 +268,12 @@
 
 // Called when the last byte of a streamed body has arrived.
 void Connection::finish_upload() {
-  const Seconds received_at = input_.parsed_bytes_arrived_at();
+  const Seconds arrived_at = input_.parsed_bytes_arrived_at();
+  const Seconds sent_after = upload_progress_.sent_after(reader_.read_body_bytes()).value_or(arrived_at);
   enter(State::kAwaitingResponse);
   if (has_client_disconnected()) return close();
   reader_.finish_upload();
-  if (request_id_) server_.dispatcher.on_body_received(*request_id_, received_at);
+  if (request_id_) server_.dispatcher.on_body_received(*request_id_, std::min(arrived_at, sent_after));
   wait_until_readable();
 }
 
--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -16,6 +16,7 @@
 #include "node/downstream/request_reader.h"
 #include "node/downstream/response_sender.h"
 #include "node/downstream/server_state.h"
+#include "node/downstream/upload_progress.h"
 
 namespace asterdrift::node::downstream {
 
@@ -35,10 +36,10 @@
   // Closes the connection unless a request is being read, or its response is awaited or being written.
   // Returns whether the connection has been closed.
   bool close_if_idle();
-  // Looks, without reading, at the socket of an upload that is blocked. Closes the connection if the client
-  // has disconnected, and tells the dispatcher if the last byte of the request has arrived: nothing is read
-  // while the upload is blocked, so that neither would be noticed otherwise.
-  void probe_blocked_upload();
+  // Looks, without reading, at the socket of an upload. Tells the dispatcher if the client may have sent the
+  // last byte, which is not read before the server has taken the bytes in front of it. Closes the connection
+  // if the upload is blocked and the client has disconnected.
+  void probe_upload();
   // The time on the steady clock from which the incomplete request counts as too slow if no more of it
   // arrives. The request is never too slow before its age is `min_age`. The age of a connection's first
   // request counts from the connection's start.
@@ -68,6 +69,7 @@
 
   void wait_until_readable();
   void read();
+  bool is_socket_empty();
   void on_read_failed(const boost::system::error_code& error);
   void begin_request();
   void parse();
@@ -75,6 +77,7 @@
   void finish_upload();
   void on_upload_blocked();
   void resume_upload();
+  void on_upload_socket_empty();
   RequestReader::Callbacks reader_callbacks();
 
   void handle_request();
@@ -110,6 +113,7 @@
   bool has_responded_ = false;
   // All bytes that have not been read arrived after this time on the steady clock.
   Seconds unread_since_ = 0;
+  UploadProgress upload_progress_;
   // How many bytes have been received after the last response.
   std::size_t discarded_bytes_ = 0;
 
--- a/node/downstream/receive_rate_monitor.h
+++ b/node/downstream/receive_rate_monitor.h
@@ -18,6 +18,7 @@
   void on_head_received(Seconds now) { head_received_at_ = now; }
   void add_body_bytes(std::size_t bytes) { body_bytes_ += bytes; }
   void set_body_bytes(std::size_t bytes) { body_bytes_ = bytes; }
+  std::size_t body_bytes() const { return body_bytes_; }
 
   // The time between pause() and resume(), while the node reads nothing, does not count against the client.
   void pause(Seconds now) { paused_at_ = now; }
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -123,6 +123,10 @@
   return remaining && *remaining <= unread_bytes;
 }
 
+std::uint64_t RequestReader::min_body_bytes(std::size_t unread_bytes) const {
+  return parser_->content_length().value_or(read_body_bytes() + unread_bytes);
+}
+
 void RequestReader::finish_upload() {
   upload_->finish(true);
   upload_.reset();
--- a/node/downstream/request_reader.h
+++ b/node/downstream/request_reader.h
@@ -70,6 +70,10 @@
   void release_parser() { parser_.reset(); }
   // Whether all bytes of the upload that have not been read are among `unread_bytes`.
   bool is_upload_within(std::size_t unread_bytes) const;
+  // How many bytes of the body have been read.
+  std::uint64_t read_body_bytes() const { return receive_rate_.body_bytes(); }
+  // The size of the upload's body if it is known; otherwise the bytes that have been read or are unread.
+  std::uint64_t min_body_bytes(std::size_t unread_bytes) const;
   // To be called after the last byte of an upload.
   void finish_upload();
 
--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -219,8 +219,7 @@
   close_older(lists.closing, kCloseTimeout, [](Connection& connection) { connection.close(); });
   for_each_while(lists.reading, close_if_slow);
   for_each_while(lists.uploading, close_if_slow);
-  for_each_while(lists.uploading,
-                 [](Connection& connection) { return connection.probe_blocked_upload(), true; });
+  for_each_while(lists.uploading, [](Connection& connection) { return connection.probe_upload(), true; });
   for_each_while(lists.writing, [](Connection& connection) {
     return connection.close_if_write_stalled(kWriteTimeout), true;
   });
--- a/tests/node/blocked_upload_test.cpp
+++ b/tests/node/blocked_upload_test.cpp
@@ -1,5 +1,6 @@
 // Uploads whose server takes no bytes, or takes them slowly: the response comes in time, and no upload is
 // given up that can still be served.
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <string>
@@ -34,12 +35,15 @@
   }
 };
 
+// The send buffer that the system chooses, and lets grow to some MiB.
+constexpr int kSystemSendBuffer = 0;
+
 // Sends a request in a thread of its own, since the node may stop reading.
 class UploadingClient {
  public:
   UploadingClient(const UploadFixture& fixture, std::string text, int send_buffer_bytes)
       : socket_(fixture.connect_client()), text_(std::move(text)) {
-    socket_.limit_send_buffer(send_buffer_bytes);
+    if (send_buffer_bytes != kSystemSendBuffer) socket_.limit_send_buffer(send_buffer_bytes);
     thread_ = std::thread([this] { socket_.send(text_); });
   }
   ~UploadingClient() {
@@ -108,6 +112,31 @@
   reader.join();
 }
 
+// Guards against requests that wait at the system of their client, which has sent them, while their server
+// takes some bytes again and again.
+TEST(BlockedUpload, RequestThatItsClientHasSentIsAnsweredInTimeWhileItsServerReadsSlowly) {
+  constexpr Seconds kTimeout = 1;
+  constexpr std::size_t kBytes = 5 * kMebibyte;
+  for (const Framing framing : {Framing::kContentLength, Framing::kChunked}) {
+    for (const std::size_t piece : {std::size_t{25000}, std::size_t{75000}}) {  // 0.5 and 1.5 MB/s
+      UploadFixture fixture(kTimeout);
+      UploadingClient client(fixture, upload_request(kBytes, framing), kSystemSendBuffer);
+      TestSocket server = fixture.servers[0].accept();
+      std::atomic<bool> is_answered = false;
+      std::thread reader([&] {
+        while (!is_answered && read_slowly(server, piece, piece) == piece) {
+        }
+      });
+      client.wait_until_sent();
+      const Stopwatch since_sent;
+      EXPECT_TRUE(contains(client.read_response(), "HTTP/1.1 50"));
+      is_answered = true;
+      EXPECT_LT(since_sent.seconds(), kTimeout + kLostAfter) << "pieces of " << piece << " bytes";
+      reader.join();
+    }
+  }
+}
+
 // Guards against uploads that are given up since they take longer than their timeout, which counts from their
 // last byte.
 TEST(BlockedUpload, UploadThatItsServerReadsSlowlyIsServed) {
