The record of when a request's bytes arrived has at most 64 segments

Change: the oldest two are joined, with the earlier time, so that no request counts as younger than it is.

--- a/node/downstream/input_buffer.cpp
+++ b/node/downstream/input_buffer.cpp
@@ -15,6 +15,8 @@
 // Bytes that arrive within this time of each other are stored as one segment, with the arrival time of the
 // first byte. This bounds the memory for segments if a client sends single bytes.
 constexpr Seconds kArrivalTimeResolution = 0.001;
+// If there are more segments, the oldest two are joined.
+constexpr std::size_t kMaxSegments = 64;
 
 }  // namespace
 
@@ -26,6 +28,15 @@
   } else {
     segments_.push_back({bytes.size(), arrived_at});
   }
+  if (segments_.size() > kMaxSegments) join_oldest_segments();
+}
+
+// The joined segment has the earlier arrival time, so that no request counts as younger than it is.
+void InputBuffer::join_oldest_segments() {
+  const Segment oldest = segments_.front();
+  segments_.pop_front();
+  segments_.front().size += oldest.size;
+  segments_.front().arrived_at = oldest.arrived_at;
 }
 
 void InputBuffer::append_pipelined(std::string_view bytes, Seconds arrived_at) {
--- a/node/downstream/input_buffer.h
+++ b/node/downstream/input_buffer.h
@@ -45,6 +45,8 @@
     Seconds arrived_at = 0;
   };
 
+  void join_oldest_segments();
+
   memory::MemoryBudget& budget_;
   memory::MemoryReservation reservation_;  // the memory that is reserved for pipelined bytes
   std::string bytes_;
