Short writes and interrupted calls do not stall or break a connection

Change: ResponseSender writes until the socket refuses, then waits for readiness as it is. EINTR is tried again.

--- a/node/downstream/response_sender.cpp
+++ b/node/downstream/response_sender.cpp
@@ -1,7 +1,10 @@
 // Writes a response to the client's socket piece by piece, as its body becomes available.
 #include "node/downstream/response_sender.h"
 
-#include <boost/asio/write.hpp>
+#include <algorithm>
+#include <array>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 namespace asterdrift::node::downstream {
@@ -13,6 +16,17 @@
 // The size of the operating system's send buffer for a streamed response.
 constexpr int kStreamSendBufferBytes = 64 * 1024;
 
+// The parts of the buffers behind the first `written` bytes.
+std::array<boost::asio::const_buffer, 2> unwritten(std::array<boost::asio::const_buffer, 2> buffers,
+                                                   std::size_t written) {
+  for (boost::asio::const_buffer& buffer : buffers) {
+    const std::size_t written_of_buffer = std::min(written, buffer.size());
+    buffer += written_of_buffer;
+    written -= written_of_buffer;
+  }
+  return buffers;
+}
+
 }  // namespace
 
 void ResponseSender::send(dispatch::DownstreamResponse&& response, const ResponseWriter::Options& options) {
@@ -39,13 +53,46 @@
 
 void ResponseSender::write() {
   is_writing_ = true;
-  const auto on_written = [this, owner = owner_.keep_alive()](const error_code& error, std::size_t) {
+  written_bytes_ = 0;
+  write_available();
+}
+
+// Writes until the socket takes no more bytes. A short write does not mean that: the wait for a writable
+// socket of an asynchronous write could then last forever, since the event loop is told of changes alone.
+void ResponseSender::write_available() {
+  error_code error;
+  while (!error) {
+    auto buffers = unwritten(writer_.buffers(), written_bytes_);
+    if (boost::asio::buffer_size(buffers) == 0) return on_piece_written();
+    written_bytes_ += socket_.write_some(buffers, error);
+  }
+  if (error == boost::asio::error::would_block || error == boost::asio::error::interrupted) {
+    return wait_writable();
+  }
+  post_end([this] { owner_.on_write_failed(); });
+}
+
+void ResponseSender::wait_writable() {
+  socket_.async_wait(tcp::socket::wait_write, [this, owner = owner_.keep_alive()](const error_code& error) {
     if (!is_sending_) return;
+    if (!error) return owner_.guard([this] { write_available(); });
     is_writing_ = false;
-    if (error) return owner_.on_write_failed();
-    owner_.guard([this] { write_next(); });
-  };
-  boost::asio::async_write(socket_, writer_.buffers(), on_written);
+    owner_.on_write_failed();
+  });
+}
+
+// The owner is never notified from within send().
+void ResponseSender::on_piece_written() {
+  post_end([this] { owner_.guard([this] { write_next(); }); });
+}
+
+template <class Step>
+void ResponseSender::post_end(Step step) {
+  boost::asio::post(socket_.get_executor(), [this, step, owner = owner_.keep_alive()] {
+    if (!is_sending_) return;
+    is_writing_ = false;
+    step();
+  });
 }
 
 void ResponseSender::write_next() {
--- a/node/downstream/response_sender.h
+++ b/node/downstream/response_sender.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -44,13 +45,19 @@
  private:
   void forward_stream();
   void write();
+  void write_available();
+  void wait_writable();
+  void on_piece_written();
+  template <class Step>
+  void post_end(Step step);
   void write_next();
 
   ResponseSenderOwner& owner_;
   boost::asio::ip::tcp::socket& socket_;
   ResponseWriter writer_;
-  bool is_sending_ = false;  // whether a response has begun and is not complete
-  bool is_writing_ = false;  // whether a piece of the response is being written
+  bool is_sending_ = false;        // whether a response has begun and is not complete
+  bool is_writing_ = false;        // whether a piece of the response is being written
+  std::size_t written_bytes_ = 0;  // how many bytes of the piece have been written
 };
 
 }  // namespace asterdrift::node::downstream
--- a/node/upstream/connection.cpp
+++ b/node/upstream/connection.cpp
@@ -250,7 +250,7 @@
   error_code error;
   const std::size_t size =
       socket_.read_some(asio::buffer(owner_.read_buffer, response_.max_read_bytes()), error);
-  if (error == asio::error::would_block) return wait_readable();
+  if (error == asio::error::would_block || error == asio::error::interrupted) return wait_readable();
   if (error == asio::error::eof && response_.finish_at_close()) return end_attempt(response_.outcome());
   if (error) return end_attempt(outcome_of_connection_loss());
   timer_.on_progress();
--- a/node/upstream/request_sender.cpp
+++ b/node/upstream/request_sender.cpp
@@ -43,6 +43,7 @@
     boost::system::error_code error;
     serializer_.advance(socket_.write_some(serializer_.buffers(), error));
     if (error == boost::asio::error::would_block) return Result::kBlocked;
+    if (error == boost::asio::error::interrupted) continue;
     if (error) return Result::kFailed;
     timer_.on_progress();
   }
