--- a/tests/soak/script.cpp
+++ b/tests/soak/script.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t kScriptStream = 1;
 constexpr int kMaxSockets = 600, kMaxSocketsWithFlood = 100;
+constexpr int kMaxFurtherSigterms = 5;
 constexpr Seconds kMinTimeBeforeSigterm = 2.2;  // shortest time from the start to the first SIGTERM
 
 const char* description(DiscoveryStep::Kind kind) {
@@ -52,16 +53,17 @@
   std::ranges::stable_sort(script.discovery_steps, {}, &DiscoveryStep::at);
 }
 
-// Adds up to three SIGHUPs at any time, and one or two SIGTERMs. The second SIGTERM follows within 1 ms or
+// Adds up to three SIGHUPs at any time, and one to six SIGTERMs. Each further SIGTERM follows within 1 ms or
 // within 0.2 s.
 void add_signals(Script& script, ScriptRandom& random, SignalStep::Target target, Seconds sigterm_at) {
   for (std::size_t count = random.below(4); count > 0; --count) {
     script.signals.push_back({random.between(0.2, sigterm_at + 1), SIGHUP, target});
   }
   script.signals.push_back({sigterm_at, SIGTERM, target});
-  if (random.chance(0.5)) {
-    const Seconds pause = random.chance(0.5) ? random.between(0, 0.001) : random.between(0.001, 0.2);
-    script.signals.push_back({sigterm_at + pause, SIGTERM, target});
+  Seconds next_at = sigterm_at;
+  for (int further = 0; further < kMaxFurtherSigterms && random.chance(0.5); ++further) {
+    next_at += random.chance(0.5) ? random.between(0, 0.001) : random.between(0.001, 0.2);
+    script.signals.push_back({next_at, SIGTERM, target});
   }
 }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::chrono::microseconds kStepInterval{200};
 constexpr Seconds kResourceCheckInterval = 0.05;
-constexpr int kMemoryMb = 64;
+constexpr int kMemoryMb = 32;  // the least that the operators give a node
 #ifndef __SANITIZE_ADDRESS__
 constexpr long kMaxPeakMemoryKb = kMemoryMb * 1024L;
 #else
