Start times of servers hold while the wall clock is stepped

After a step back by an hour, a server that had just started counted as warm, and the budget of its slow start did not hold; after a step forward it counted as starting for an hour. Change: UnixTimeConverter follows the offset, takes the latest time that is not in the future, and keeps the result of a time that it knows, so that no server seems to restart. Measured: UnixTime.* (4); the steps were not played with real processes.

--- a/node/dispatch/request_table.cpp
+++ b/node/dispatch/request_table.cpp
@@ -23,7 +23,7 @@
 std::shared_ptr<InFlightRequest> RequestTable::remove_if_done(RequestId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return nullptr;
-  const std::shared_ptr<InFlightRequest> request = it->second;
+  std::shared_ptr<InFlightRequest> request = it->second;
   if (request->awaits_response() || request->has_open_attempts()) return nullptr;
   client_request_ids_.erase(request->downstream_request.client_request_id);
   requests_.erase(it);
--- a/node/timing/clock.cpp
+++ b/node/timing/clock.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "node/timing/unix_time.h"
+
 namespace asterdrift::node::timing {
 namespace {
 
@@ -19,8 +21,8 @@
 Seconds now() { return seconds_since_epoch<std::chrono::steady_clock>(); }
 
 Seconds to_steady_time(double unix_ms) {
-  static const Seconds kUnixToSteadyOffset = now() - seconds_since_epoch<std::chrono::system_clock>();
-  return unix_ms == 0 ? 0 : unix_ms / 1000 + kUnixToSteadyOffset;
+  static UnixTimeConverter converter;
+  return converter.to_steady(unix_ms, now(), seconds_since_epoch<std::chrono::system_clock>());
 }
 
 std::chrono::nanoseconds to_duration(Seconds duration) {
--- a/node/timing/clock.h
+++ b/node/timing/clock.h
@@ -11,9 +11,8 @@
 // The current time on the steady clock. The balancer's times are on the same clock.
 Seconds now();
 
-// Converts a Unix time in milliseconds to the steady clock. 0 means long ago and stays 0. The offset between
-// the clocks is measured only once per process: if it were measured again for each endpoint list, an
-// unchanged start time would have a different result each time, and look like a restart of the server.
+// Converts a Unix time in milliseconds to the steady clock. 0 means long ago and stays 0. See
+// UnixTimeConverter.
 Seconds to_steady_time(double unix_ms);
 
 // Converts a duration to the type that timers take. A negative duration becomes 0.
