--- a/tests/node/client_departure_test.cpp
+++ b/tests/node/client_departure_test.cpp
@@ -159,7 +159,7 @@
   LongTimeoutFixture fixture;
   auto [client, server] = fixture.start_with_forwarded_request(request_with_id("close", "rejected"));
   server.send(not_started_response_with_close());
-  wait_until([&] { return !client.is_idle() || !fixture.servers[0].is_idle(); });
+  wait_until([&, &departed = client] { return !departed.is_idle() || !fixture.servers[0].is_idle(); });
   while (client.is_idle()) {
     TestSocket next = fixture.servers[0].accept();
     next.read_message();
--- a/tests/node_unit/upload_progress_test.cpp
+++ b/tests/node_unit/upload_progress_test.cpp
@@ -31,8 +31,10 @@
 
 TEST(UploadProgress, NeverCountsFromEarlierThanItMust) {
   UploadProgress progress;
-  for (int i = 0; i < 1000; ++i) progress.sample(i, i * kMebibyte);
-  for (int i = 5; i < 1000; ++i) EXPECT_GE(progress.sent_after(i * kMebibyte).value(), i - 4) << i;
+  for (std::uint64_t i = 0; i < 1000; ++i) progress.sample(static_cast<Seconds>(i), i * kMebibyte);
+  for (std::uint64_t i = 5; i < 1000; ++i) {
+    EXPECT_GE(progress.sent_after(i * kMebibyte).value(), static_cast<Seconds>(i - 4)) << i;
+  }
   EXPECT_EQ(progress.sent_after(1003 * kMebibyte), 999);
 }
 
--- a/tests/support/short_write_library.cpp
+++ b/tests/support/short_write_library.cpp
@@ -28,12 +28,12 @@
 }  // namespace
 
 extern "C" ssize_t sendmsg(int socket, const msghdr* message, int flags) {
-  static const SendMessage next = system_sendmsg();
+  static const SendMessage kNext = system_sendmsg();
   static unsigned calls = 0;
-  if (++calls % kShortWritePeriod != 0) return next(socket, message, flags);
+  if (++calls % kShortWritePeriod != 0) return kNext(socket, message, flags);
   iovec buffer = first_bytes(*message);
   msghdr shortened = *message;
   shortened.msg_iov = &buffer;
   shortened.msg_iovlen = 1;
-  return next(socket, &shortened, flags);
+  return kNext(socket, &shortened, flags);
 }
