Responses that are cut off for a client that takes no byte are logged and counted

Change: SendProgress observes what the system knows (TCP_INFO: acknowledged bytes, receive window); a counter app.downstream_responses_stalled, and a log line for the first response of a second. No limit is changed.

--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -115,7 +115,13 @@
 }
 
 void Connection::close_if_write_stalled(Seconds timeout) {
-  if (sender_.is_writing() && now() - state_since() > timeout) close();
+  if (!sender_.is_writing()) return;
+  sender_.observe_progress();
+  if (now() - state_since() <= timeout) return;
+  server_.stalled_responses.record(net::peer_address(socket_), now() - state_since(),
+                                   now() - sender_.progress().progress_at(),
+                                   net::send_state(socket_.native_handle()));
+  close();
 }
 
 void Connection::reject_partial_request() {
--- a/node/downstream/response_sender.cpp
+++ b/node/downstream/response_sender.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "node/timing/clock.h"
+
 namespace asterdrift::node::downstream {
 namespace {
 
@@ -51,9 +53,14 @@
   });
 }
 
+void ResponseSender::observe_progress() {
+  progress_.observe(net::send_state(socket_.native_handle()), timing::now());
+}
+
 void ResponseSender::write() {
   is_writing_ = true;
   written_bytes_ = 0;
+  progress_.begin(timing::now());
   write_available();
 }
 
@@ -64,7 +71,10 @@
   while (!error) {
     auto buffers = unwritten(writer_.buffers(), written_bytes_);
     if (boost::asio::buffer_size(buffers) == 0) return on_piece_written();
-    written_bytes_ += socket_.write_some(buffers, error);
+    const std::size_t size = socket_.write_some(buffers, error);
+    written_bytes_ += size;
+    progress_.on_bytes_written(size, timing::now());
+    if (progress_.is_observation_due()) observe_progress();
   }
   if (error == boost::asio::error::would_block || error == boost::asio::error::interrupted) {
     return wait_writable();
--- a/node/downstream/response_sender.h
+++ b/node/downstream/response_sender.h
@@ -8,6 +8,7 @@
 
 #include "node/dispatch/messages.h"
 #include "node/downstream/response_writer.h"
+#include "node/net/send_progress.h"
 
 namespace asterdrift::node::downstream {
 
@@ -41,6 +42,9 @@
 
   // Whether a write to the socket is pending.
   bool is_writing() const { return is_writing_; }
+  // Looks how the client's system takes the bytes that have been written. To be called from time to time.
+  void observe_progress();
+  const net::SendProgress& progress() const { return progress_; }
 
  private:
   void forward_stream();
@@ -55,6 +59,7 @@
   ResponseSenderOwner& owner_;
   boost::asio::ip::tcp::socket& socket_;
   ResponseWriter writer_;
+  net::SendProgress progress_;
   bool is_sending_ = false;        // whether a response has begun and is not complete
   bool is_writing_ = false;        // whether a piece of the response is being written
   std::size_t written_bytes_ = 0;  // how many bytes of the piece have been written
--- a/node/downstream/server_state.h
+++ b/node/downstream/server_state.h
@@ -13,6 +13,7 @@
 #include "node/dispatch/request_dispatcher.h"
 #include "node/downstream/request_error.h"
 #include "node/downstream/request_validator.h"
+#include "node/downstream/stalled_response_log.h"
 #include "node/memory/memory_budget.h"
 #include "node/telemetry/metrics.h"
 
@@ -60,6 +61,7 @@
         body_budget(body_budget),
         metrics(metrics),
         validator(config),
+        stalled_responses(io, metrics),
         max_connections(max_connections),
         on_connection_inactive(std::move(on_inactive)) {}
 
@@ -84,6 +86,7 @@
   memory::MemoryBudget& body_budget;
   telemetry::Metrics& metrics;
   const RequestValidator validator;
+  StalledResponseLog stalled_responses;
   std::size_t max_connections;
   // Called when a connection has been closed, or has entered a state in which it may be evicted. The
   // connection may be in the middle of an operation.
--- a/node/telemetry/metrics.cpp
+++ b/node/telemetry/metrics.cpp
@@ -68,6 +68,7 @@
     out += metric_line(prefix + "older", evictions_.at(state).older, 'c');
   }
   out += metric_line("downstream_evictions.without_waiting_client", evictions_without_waiting_client_, 'c');
+  out += metric_line("downstream_responses_stalled", stalled_responses_, 'c');
   out += metric_line("body_memory.reserved", gauges.reserved_body_bytes, 'g');
   out += metric_line("body_memory.streamed", gauges.streamed_body_bytes, 'g');
   out += metric_line("uploads_blocked", gauges.blocked_uploads, 'g');
--- a/node/telemetry/metrics.h
+++ b/node/telemetry/metrics.h
@@ -46,6 +46,9 @@
 
   void count_eviction(const Eviction& eviction);
 
+  // Counts a response that was cut off since its client took no byte of it for too long.
+  void count_stalled_response() { ++stalled_responses_; }
+
   // Returns one line for each metric. Every request class is reported from the start, also while its counters
   // are 0.
   std::string report(const Gauges& gauges) const;
@@ -65,6 +68,7 @@
   std::array<EvictionCounters, kEvictionStates> evictions_;  // the counters of each Eviction::ConnectionState
   std::uint64_t evictions_without_waiting_client_ = 0;
   std::uint64_t attempts_ = 0;
+  std::uint64_t stalled_responses_ = 0;
 };
 
 }  // namespace asterdrift::node::telemetry
