Clients that read a long response slowly are not cut off

Cause: the limit of 5 s counted from the last complete piece handed to the socket. Bytes taken of a piece, and bytes that the client's system received, did not count; and a system whose receive buffer is full takes nothing until a sixteenth of it is free, which a reader of 64 kB/s needs up to 31 s for. Change: SendProgress counts acknowledged and written bytes, and lengthens the limit by the time in which a reader of 64 kB/s opens a window of the size seen, 60 s at most. It works since the limit no longer ends before such a window can open. Without a large window, or without TCP_INFO, 5 s hold as before.

--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -114,12 +114,11 @@
   return true;
 }
 
-void Connection::close_if_write_stalled(Seconds timeout) {
+void Connection::close_if_write_stalled(Seconds min_timeout) {
   if (!sender_.is_writing()) return;
   sender_.observe_progress();
-  if (now() - state_since() <= timeout) return;
-  server_.stalled_responses.record(net::peer_address(socket_), now() - state_since(),
-                                   now() - sender_.progress().progress_at(),
+  if (now() < sender_.progress().stalled_at(min_timeout)) return;
+  server_.stalled_responses.record(net::peer_address(socket_), now() - sender_.progress().progress_at(),
                                    net::send_state(socket_.native_handle()));
   close();
 }
--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -46,8 +46,9 @@
   Seconds receive_deadline(Seconds min_age) const;
   // Closes the connection if the receive deadline has passed. Returns whether it has been closed.
   bool close_if_slow(Seconds min_age);
-  // Closes the connection if its client has taken no byte of the response for longer than `timeout`.
-  void close_if_write_stalled(Seconds timeout);
+  // Closes the connection if its client counts as having stopped reading the response: no sooner than
+  // `min_timeout` after its system took the last byte, see net::SendProgress.
+  void close_if_write_stalled(Seconds min_timeout);
   // Whether nothing of an upload is read until its server has taken more bytes.
   bool is_upload_blocked() const { return reader_.is_paused(); }
   // Rejects the request if it is still being read.
@@ -96,7 +97,6 @@
   // ResponseSenderOwner.
   std::shared_ptr<void> keep_alive() override { return shared_from_this(); }
   void guard(const std::function<void()>& step) override;
-  void on_response_progress() override { enter(State::kWriting); }
   void on_response_written() override;
   void on_response_truncated() override;
   void on_write_failed() override { close(); }
--- a/node/downstream/response_sender.cpp
+++ b/node/downstream/response_sender.cpp
@@ -108,7 +108,6 @@
 void ResponseSender::write_next() {
   switch (writer_.next()) {
     case ResponseWriter::Next::kPiece:
-      owner_.on_response_progress();
       return write();
     case ResponseWriter::Next::kWait:
       return;
--- a/node/downstream/response_sender.h
+++ b/node/downstream/response_sender.h
@@ -21,8 +21,6 @@
   virtual std::shared_ptr<void> keep_alive() = 0;
   // Runs a step of the sender, and handles its exceptions.
   virtual void guard(const std::function<void()>& step) = 0;
-  // Called when all bytes so far have been written to the socket, and more are about to be written.
-  virtual void on_response_progress() = 0;
   virtual void on_response_written() = 0;
   // Called when the server has ended the body before it was complete.
   virtual void on_response_truncated() = 0;
--- a/node/downstream/server.cpp
+++ b/node/downstream/server.cpp
@@ -31,8 +31,9 @@
 // The maximum time for a request's head. For the first request of a connection, the time counts from the
 // connection's start. The operators' limit for a client without a complete request is 3 s.
 constexpr Seconds kReadTimeout = 2.4;
-// The maximum time for which a client may take no byte of its response.
-constexpr Seconds kWriteTimeout = 5;
+// The maximum time for which a client may take no byte of its response. Longer for clients whose receive
+// window was large, see net::SendProgress.
+constexpr Seconds kMinWriteTimeout = 5;
 // The maximum time for a client to close its connection after the last response.
 constexpr Seconds kCloseTimeout = 1;
 // The maximum number of connections that are accepted before other sockets are served.
@@ -221,7 +222,7 @@
   for_each_while(lists.uploading, close_if_slow);
   for_each_while(lists.uploading, [](Connection& connection) { return connection.probe_upload(), true; });
   for_each_while(lists.writing, [](Connection& connection) {
-    return connection.close_if_write_stalled(kWriteTimeout), true;
+    return connection.close_if_write_stalled(kMinWriteTimeout), true;
   });
   timeout_timer_.expires_after(kTimeoutCheckPeriod);
   timeout_timer_.async_wait([this](const error_code& error) {
--- a/node/downstream/stalled_response_log.cpp
+++ b/node/downstream/stalled_response_log.cpp
@@ -26,16 +26,15 @@
 
 }  // namespace
 
-void StalledResponseLog::record(const std::string& client, Seconds unwritten_for, Seconds unacknowledged_for,
+void StalledResponseLog::record(const std::string& client, Seconds silence,
                                 const std::optional<net::SendState>& state) {
   metrics_.count_stalled_response();
   if (is_waiting_) {
     ++unlogged_;
     return;
   }
-  telemetry::log_line("response cut off: client " + client + " took no byte for " +
-                      format_seconds(unacknowledged_for) + " (socket blocked for " +
-                      format_seconds(unwritten_for) + ")" + describe(state));
+  telemetry::log_line("response cut off: client " + client + " took no byte for " + format_seconds(silence) +
+                      describe(state));
   is_waiting_ = true;
   timer_.expires_after(kLogPeriod);
   timer_.async_wait([this](const boost::system::error_code& error) {
--- a/node/downstream/stalled_response_log.h
+++ b/node/downstream/stalled_response_log.h
@@ -21,10 +21,8 @@
   StalledResponseLog(boost::asio::io_context& io, telemetry::Metrics& metrics)
       : metrics_(metrics), timer_(io) {}
 
-  // client: the client's address. unwritten_for: how long the socket has not taken a complete piece of the
-  // response. unacknowledged_for: how long the client's system has received nothing.
-  void record(const std::string& client, Seconds unwritten_for, Seconds unacknowledged_for,
-              const std::optional<net::SendState>& state);
+  // client: the client's address. silence: how long the client's system has taken nothing.
+  void record(const std::string& client, Seconds silence, const std::optional<net::SendState>& state);
 
  private:
   void write_number();
--- a/node/net/send_progress.cpp
+++ b/node/net/send_progress.cpp
@@ -13,9 +13,9 @@
 // The operators' figure for a slow peer.
 constexpr double kMinReadBytesPerSecond = 64e3;
 // A closed window opens when this fraction of the receive buffer is free.
-constexpr std::size_t kWindowStepDivisor = 12;
+constexpr std::size_t kWindowStepDivisor = 16;
 // The receive buffer may be larger than the window that was announced, and its bookkeeping counts too.
-constexpr std::size_t kMaxUnannouncedStepBytes = 256UL * 1024;
+constexpr std::size_t kMaxUnannouncedStepBytes = 350'000;
 // For pauses between two reads, and for probes of the window.
 constexpr Seconds kWindowUpdateDelay = 3;
 // Bounds the time for which a peer that announces a huge window occupies its connection.
--- a/tests/support/loopback_socket.cpp
+++ b/tests/support/loopback_socket.cpp
@@ -65,12 +65,21 @@
   }
 }
 
+// To be called before a connection is established, because its window scale depends on the receive buffer.
+void set_receive_buffer(int descriptor, int bytes) {
+  if (bytes == TestSocket::kSystemReceiveBuffer) return;
+  if (setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes) != 0) {
+    throw std::system_error(errno, std::generic_category(), "set the receive buffer of a socket");
+  }
+}
+
 }  // namespace
 
 TestSocket::TestSocket(FileDescriptor descriptor) : descriptor_(std::move(descriptor)) {}
 
-TestSocket TestSocket::connect_to(int port) {
+TestSocket TestSocket::connect_to(int port, int receive_buffer_bytes) {
   TestSocket connection(new_tcp_socket());
+  set_receive_buffer(connection.descriptor_.get(), receive_buffer_bytes);
   const sockaddr_in address = loopback_address(port);
   if (connect(connection.descriptor_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
       0) {
--- a/tests/support/loopback_socket.h
+++ b/tests/support/loopback_socket.h
@@ -18,8 +18,10 @@
   TestSocket() = default;
   explicit TestSocket(FileDescriptor descriptor);
 
+  // Lets the system choose the receive buffer, and let it grow.
+  static constexpr int kSystemReceiveBuffer = 0;
   // Connects to a port. Throws std::system_error, whose text has the address, if the connection fails.
-  static TestSocket connect_to(int port);
+  static TestSocket connect_to(int port, int receive_buffer_bytes = kSystemReceiveBuffer);
 
   // Limits how many sent bytes the system holds for this side.
   void limit_send_buffer(int bytes) const;
