Uploads are not given up while their servers read them

Callers saw: an upload answered with an error after its timeout, though the client was still sending and the server reading. Cause: a server's system whose receive buffer is full takes nothing for 8 s and more at 64 kB/s; the node took that for a server that stands still, and counted the request's time although the client could not have sent the last byte. Change: such a request does not expire before SendProgress says that the server has stopped reading; the limit of 25 s counts from the last byte that the server's system took. Windows up to 256 KiB change no limit at all, in both directions.

--- a/node/dispatch/request_dispatcher.cpp
+++ b/node/dispatch/request_dispatcher.cpp
@@ -168,13 +168,15 @@
 
 // A client that has sent the last byte awaits a response, whether or not the node reads that byte. While the
 // server takes bytes, they are read sooner or later, and a client that is still sending does not lose its
-// request.
-void RequestDispatcher::on_body_blocked(RequestId id, Seconds unread_since) {
+// request. If the client cannot have sent the last byte, the server has the time in which a reader takes
+// bytes.
+void RequestDispatcher::on_body_blocked(RequestId id, Seconds unread_since, bool may_be_sent) {
   const std::shared_ptr<InFlightRequest> request = find_arriving(id);
   if (request == nullptr) return;
   const Seconds timeout = request->downstream_request.timeout;
   const Seconds earliest = RequestDeadline(unread_since, timeout).final_response_at();
-  expire_at(*request, std::max(earliest, now() + std::min(upstream::kBlockedTime, timeout)));
+  const Seconds deadline = std::max(earliest, now() + std::min(upstream::kBlockedTime, timeout));
+  may_be_sent ? expire_at(*request, deadline) : expire_unless_read(*request, deadline);
 }
 
 void RequestDispatcher::on_body_maybe_sent(RequestId id, Seconds sent_after) {
@@ -191,6 +193,27 @@
   if (request != nullptr) request->deadline_timer.cancel();
 }
 
+// Lets the request expire at `time`, or later when its server counts as having stopped reading the upload.
+void RequestDispatcher::expire_unless_read(InFlightRequest& request, Seconds time) {
+  request.deadline_timer.expires_at(timing::to_time_point(time));
+  request.deadline_timer.async_wait([this, id = request.id](const error_code& error) {
+    const std::shared_ptr<InFlightRequest> arriving = error ? nullptr : find_arriving(id);
+    if (arriving == nullptr) return;
+    const Seconds stalled_at = upload_stalled_at(*arriving);
+    now() < stalled_at ? expire_unless_read(*arriving, stalled_at) : expire(id);
+  });
+}
+
+// When the server that an upload is sent to counts as having stopped reading.
+Seconds RequestDispatcher::upload_stalled_at(const InFlightRequest& request) {
+  Seconds latest = 0;
+  for (const Attempt& attempt : request.attempts) {
+    if (attempt.is_open())
+      latest = std::max(latest, upstream::ConnectionPool::upload_stalled_at(attempt.handle));
+  }
+  return latest;
+}
+
 // Returns a request whose body is still arriving and that awaits a response; null if there is none.
 std::shared_ptr<InFlightRequest> RequestDispatcher::find_arriving(RequestId id) {
   const std::shared_ptr<InFlightRequest> request = requests_.find(id);
--- a/node/dispatch/request_dispatcher.h
+++ b/node/dispatch/request_dispatcher.h
@@ -38,7 +38,9 @@
   void on_body_received(RequestId id, Seconds received_at);
   // The server takes no more bytes of the request's body, which is therefore not read. The last byte may have
   // arrived as early as `unread_since`, so the request's timeout counts from then until on_body_resumed().
-  void on_body_blocked(RequestId id, Seconds unread_since);
+  // may_be_sent: whether the client can have sent the last byte. If not, the request does not expire before
+  // its server counts as having stopped reading.
+  void on_body_blocked(RequestId id, Seconds unread_since, bool may_be_sent);
   // The last byte of the request's body has not been read, but its client may have sent it as early as
   // `sent_after`, so the request's timeout counts from then until on_body_resumed().
   void on_body_maybe_sent(RequestId id, Seconds sent_after);
@@ -95,6 +97,8 @@
 
   void remove_if_done(RequestId id);
   std::shared_ptr<InFlightRequest> find_arriving(RequestId id);
+  void expire_unless_read(InFlightRequest& request, Seconds time);
+  static Seconds upload_stalled_at(const InFlightRequest& request);
   void expire_at(InFlightRequest& request, Seconds time);
   bool is_response_awaited(RequestId id);
   void expire(RequestId id);
--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -261,7 +261,11 @@
 
 // The server takes no more bytes of the upload, and the last byte may arrive unread.
 void Connection::on_upload_blocked() {
-  if (request_id_) server_.dispatcher.on_body_blocked(*request_id_, unread_since_);
+  if (!request_id_) return;
+  const std::size_t unread = net::unread_bytes(socket_.native_handle());
+  upload_progress_.sample(now(), reader_.read_body_bytes() + unread);
+  const bool may_be_sent = upload_progress_.sent_after(reader_.min_body_bytes(unread)).has_value();
+  server_.dispatcher.on_body_blocked(*request_id_, unread_since_, may_be_sent);
 }
 
 void Connection::resume_upload() {
--- a/node/net/send_progress.cpp
+++ b/node/net/send_progress.cpp
@@ -12,6 +12,8 @@
 
 // The operators' figure for a slow peer.
 constexpr double kMinReadBytesPerSecond = 64e3;
+// A peer with such a window reads all of it within the limits for any peer.
+constexpr std::size_t kSmallWindowBytes = 256UL * 1024;
 // A closed window opens when this fraction of the receive buffer is free.
 constexpr std::size_t kWindowStepDivisor = 16;
 // The receive buffer may be larger than the window that was announced, and its bookkeeping counts too.
@@ -21,10 +23,10 @@
 // Bounds the time for which a peer that announces a huge window occupies its connection.
 constexpr Seconds kMaxSilence = 60;
 
-// The longest time for which a reading peer takes no byte.
+// The longest time for which a peer that reads takes no byte; 0 if the limits for any peer allow for it.
 Seconds max_silence_of_reader(std::size_t max_window_bytes) {
-  const std::size_t step =
-      std::min(max_window_bytes, kMaxUnannouncedStepBytes + max_window_bytes / kWindowStepDivisor);
+  if (max_window_bytes <= kSmallWindowBytes) return 0;
+  const std::size_t step = kMaxUnannouncedStepBytes + max_window_bytes / kWindowStepDivisor;
   return std::min(kMaxSilence, kWindowUpdateDelay + static_cast<double>(step) / kMinReadBytesPerSecond);
 }
 
--- a/node/net/send_progress.h
+++ b/node/net/send_progress.h
@@ -36,8 +36,8 @@
   void observe(const std::optional<SendState>& state, Seconds now);
 
   Seconds progress_at() const { return progress_at_; }
-  // When the peer counts as having stopped reading if it takes no byte: after `min_timeout`, or after the
-  // time in which a peer that reads 64 kB/s opens its window.
+  // When the peer counts as having stopped reading if it takes no byte: after `min_timeout`, or, if its
+  // window was large, after the time in which a peer that reads 64 kB/s opens its window.
   Seconds stalled_at(Seconds min_timeout) const;
 
  private:
--- a/node/upstream/attempt_timer.cpp
+++ b/node/upstream/attempt_timer.cpp
@@ -11,8 +11,6 @@
 
 // How long a response of unknown length is buffered before it is streamed.
 constexpr Seconds kMaxBufferingTime = 0.1;
-// The longest time without a byte of a streamed body. Servers may hang for 19 s and then go on.
-constexpr Seconds kStallTimeout = 25;
 constexpr double kMinRemainingMs = 1;
 constexpr double kMsPerSecond = 1000;
 
@@ -30,10 +28,6 @@
   return static_cast<std::int64_t>(std::max(remaining, kMinRemainingMs));
 }
 
-Seconds AttemptTimer::stall_timeout_at(bool awaits_client) const {
-  return (awaits_client ? now() : progress_at_) + kStallTimeout;
-}
-
 void AttemptTimer::begin_buffering() { buffer_until_ = now() + kMaxBufferingTime; }
 
 }  // namespace asterdrift::node::upstream
--- a/node/upstream/attempt_timer.h
+++ b/node/upstream/attempt_timer.h
@@ -11,6 +11,9 @@
 
 namespace asterdrift::node::upstream {
 
+// The longest time without a byte of a streamed body. Servers may hang for 19 s and then go on.
+constexpr Seconds kStallTimeout = 25;
+
 // All times are on the steady clock.
 class AttemptTimer {
  public:
@@ -30,8 +33,8 @@
   // To be called when bytes have been sent or received.
   void on_progress() { progress_at_ = timing::now(); }
   Seconds time_without_progress() const { return timing::now() - progress_at_; }
-  // When a streamed body times out for lack of progress. Time in which the client is awaited does not count.
-  Seconds stall_timeout_at(bool awaits_client) const;
+  // When a streamed response times out since its server gives no byte.
+  Seconds stall_timeout_at() const { return progress_at_ + kStallTimeout; }
 
   // Limits the time for which a response of unknown length is buffered before it is streamed.
   void begin_buffering();
--- a/node/upstream/connection.cpp
+++ b/node/upstream/connection.cpp
@@ -21,6 +21,8 @@
 
 // A reused connection that is reset sooner than this after its request began was stale.
 constexpr Seconds kMaxStaleResetTime = 0.02;
+// How often the progress of an upload is observed.
+constexpr Seconds kUploadCheckPeriod = 1;
 
 }  // namespace
 
@@ -92,6 +94,12 @@
   if (attempt_id == attempt_id_ && callbacks_.on_result) end_attempt(outcome);
 }
 
+Seconds Connection::upload_stalled_at(AttemptId attempt_id) {
+  if (attempt_id != attempt_id_ || !callbacks_.on_result || !is_uploading()) return 0;
+  sender_.observe_progress();
+  return sender_.progress().stalled_at(kBlockedTime);
+}
+
 void Connection::withdraw(AttemptId attempt_id) {
   const bool is_sending = state_ == State::kWriting && !response_.is_streaming();
   if (state_ != State::kConnecting && !is_sending) return;
@@ -155,12 +163,21 @@
 }
 
 // When the attempt times out if its state does not change. The duration of a streamed body depends on its
-// client and its size, so the only timeout of a streamed body is that for the lack of progress.
+// client and its size, so the only timeout of a streamed body is that for the lack of progress. Time in which
+// the client is awaited does not count.
 Seconds Connection::deadline() const {
-  const bool is_streaming = response_.is_streaming() || (state_ == State::kWriting && request_->body_stream);
-  if (!is_streaming) return timer_.timeout_at();
-  return timer_.stall_timeout_at(response_.is_streaming() ? response_.is_stream_full()
-                                                          : !is_waiting_writable_);
+  const Seconds stall_timeout_while_awaiting_client = now() + kStallTimeout;
+  if (response_.is_streaming()) {
+    return response_.is_stream_full() ? stall_timeout_while_awaiting_client : timer_.stall_timeout_at();
+  }
+  if (!is_uploading()) return timer_.timeout_at();
+  return is_waiting_writable_ ? sender_.progress().stalled_at(kStallTimeout)
+                              : stall_timeout_while_awaiting_client;
+}
+
+// When on_timer() has to look at the attempt again.
+Seconds Connection::next_check_at() const {
+  return is_uploading() ? std::min(deadline(), now() + kUploadCheckPeriod) : deadline();
 }
 
 // An attempt whose request has been written completely may have run, and must not end as one that never ran.
@@ -170,7 +187,8 @@
     return end_attempt(Outcome::kConnectFailed);
   const bool buffering_time_is_over = timer_.is_buffering() && now() >= timer_.buffer_until();
   if (!response_.is_streaming() && buffering_time_is_over) start_streaming();
-  if (now() < deadline()) return set_timer(deadline());
+  if (is_uploading()) sender_.observe_progress();
+  if (now() < deadline()) return set_timer(next_check_at());
   if (response_.is_streaming()) return end_attempt(Outcome::kConnectionReset);
   end_attempt(state_ == State::kReading ? Outcome::kTimedOut : Outcome::kConnectFailed);
 }
--- a/node/upstream/connection.h
+++ b/node/upstream/connection.h
@@ -47,6 +47,9 @@
   // ends as not sent, or as failed if its server has taken no bytes for a while.
   void withdraw(AttemptId attempt_id);
 
+  // See ConnectionPool::upload_stalled_at().
+  Seconds upload_stalled_at(AttemptId attempt_id);
+
   AttemptHandle handle() { return {weak_from_this(), attempt_id_}; }
   const std::string& endpoint() const { return endpoint_; }
   std::uint64_t generation() const { return generation_; }
@@ -73,6 +76,11 @@
   void set_timer(Seconds time);
   void on_timer();
   Seconds deadline() const;
+  Seconds next_check_at() const;
+  // Whether a streamed request body is being written, and no response has begun.
+  bool is_uploading() const {
+    return state_ == State::kWriting && request_->body_stream && !response_.is_streaming();
+  }
 
   void wait_for_body_stream();
   void write();
--- a/node/upstream/connection_pool.cpp
+++ b/node/upstream/connection_pool.cpp
@@ -71,6 +71,11 @@
   if (const auto connection = attempt.connection.lock()) connection->stop(attempt.attempt_id, outcome);
 }
 
+Seconds ConnectionPool::upload_stalled_at(const AttemptHandle& attempt) {
+  const auto connection = attempt.connection.lock();
+  return connection ? connection->upload_stalled_at(attempt.attempt_id) : 0;
+}
+
 void ConnectionPool::withdraw(const AttemptHandle& attempt) {
   if (const auto connection = attempt.connection.lock()) connection->withdraw(attempt.attempt_id);
 }
--- a/node/upstream/connection_pool.h
+++ b/node/upstream/connection_pool.h
@@ -36,6 +36,9 @@
 
   // See Connection::withdraw().
   void withdraw(const AttemptHandle& attempt);
+  // When the server counts as having stopped reading the upload that the attempt sends; 0 if the attempt
+  // sends none.
+  static Seconds upload_stalled_at(const AttemptHandle& attempt);
 
   // Applies a snapshot or an incremental list. The cost is proportional to the number of endpoints in the
   // list, for a snapshot also to the number of previous endpoints. No more attempts start at endpoints that
--- a/node/upstream/request_sender.cpp
+++ b/node/upstream/request_sender.cpp
@@ -10,6 +10,7 @@
 
 void RequestSender::begin(std::shared_ptr<UpstreamRequest> request) {
   request_ = std::move(request);
+  progress_.begin(timing::now());
   serializer_.begin(request_, timer_.remaining_ms());
 }
 
@@ -36,12 +37,19 @@
   }
 }
 
+void RequestSender::observe_progress() {
+  progress_.observe(net::send_state(socket_.native_handle()), timing::now());
+}
+
 // Returns why the current piece has not been written completely, or nothing if the piece has been written.
 std::optional<RequestSender::Result> RequestSender::write_piece() {
   while (!serializer_.is_piece_written()) {
     if (timing::now() >= timer_.write_deadline()) return Result::kOverdue;
     boost::system::error_code error;
-    serializer_.advance(socket_.write_some(serializer_.buffers(), error));
+    const std::size_t size = socket_.write_some(serializer_.buffers(), error);
+    serializer_.advance(size);
+    progress_.on_bytes_written(size, timing::now());
+    if (progress_.is_observation_due()) observe_progress();
     if (error == boost::asio::error::would_block) return Result::kBlocked;
     if (error == boost::asio::error::interrupted) continue;
     if (error) return Result::kFailed;
--- a/node/upstream/request_sender.h
+++ b/node/upstream/request_sender.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "node/net/send_progress.h"
 #include "node/upstream/attempt.h"
 #include "node/upstream/attempt_timer.h"
 #include "node/upstream/request_serializer.h"
@@ -35,6 +36,10 @@
   // Writes as much of the request as possible. on_body_stream_consumed: see AttemptCallbacks.
   Result send(const std::function<void()>& on_body_stream_consumed);
 
+  // Looks how the server's system takes the bytes that have been written. To be called from time to time.
+  void observe_progress();
+  const net::SendProgress& progress() const { return progress_; }
+
  private:
   std::optional<Result> write_piece();
 
@@ -42,6 +47,7 @@
   AttemptTimer& timer_;
   std::shared_ptr<UpstreamRequest> request_;
   RequestSerializer serializer_;
+  net::SendProgress progress_;
 };
 
 }  // namespace asterdrift::node::upstream
--- a/tests/node/slow_peer_test.cpp
+++ b/tests/node/slow_peer_test.cpp
@@ -1,5 +1,6 @@
 // Peers that read slowly, but never stand still. Their systems have large receive buffers, and take nothing
 // for seconds at a time while the peers read.
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <string>
@@ -73,5 +74,37 @@
   EXPECT_LT(client.read_bytes(kSize).size(), kSize);
 }
 
+// Guards against uploads that are given up while their servers read them and their clients send them, since
+// the server's system takes nothing until a part of its receive buffer is free.
+TEST(SlowPeer, UploadIsNotGivenUpWhileItsServerReads) {
+  constexpr std::size_t kSize = 20 * kMegabyte;
+  constexpr std::size_t kSentAtOnce = 13 * kMegabyte;
+  constexpr std::size_t kPieceBytes = 12800;  // a piece each 0.1 s
+  NodeFixture fixture;
+  fixture.config.request_timeout = 3;
+  fixture.servers[0].limit_receive_buffer(kLargeReceiveBuffer);
+  fixture.start_with_one_server();
+  TestSocket client = fixture.connect_client();
+  std::atomic<bool> may_finish = false;
+  std::thread sender([&] {
+    client.send(request_head("close") + "Content-Length: " + std::to_string(kSize) + "\r\n\r\n" +
+                std::string(kSentAtOnce, 'u'));
+    std::size_t sent = kSentAtOnce;
+    for (; !may_finish; sent += kPieceBytes) {
+      client.send(std::string(kPieceBytes, 'u'));
+      std::this_thread::sleep_for(100ms);
+    }
+    client.send(std::string(kSize - sent, 'u'));
+  });
+  TestSocket server = fixture.servers[0].accept();
+  server.read_until("\r\n\r\n");
+  const std::size_t received = read_slowly(server);
+  may_finish = true;
+  EXPECT_EQ(received + server.read_bytes(kSize - received).size(), kSize);
+  server.send(ok_response());
+  EXPECT_TRUE(contains(client.read_message(), " 200 "));
+  sender.join();
+}
+
 }  // namespace
 }  // namespace asterdrift::node::testing
--- a/tests/support/loopback_socket.cpp
+++ b/tests/support/loopback_socket.cpp
@@ -175,6 +175,8 @@
   if (listen(descriptor_.get(), backlog) != 0) throw_system_error("listen on", port_);
 }
 
+void ListeningSocket::limit_receive_buffer(int bytes) const { set_receive_buffer(descriptor_.get(), bytes); }
+
 void ListeningSocket::stop_listening() {
   FileDescriptor holder = new_tcp_socket();
   enable_option(holder.get(), SO_REUSEPORT);
--- a/tests/support/loopback_socket.h
+++ b/tests/support/loopback_socket.h
@@ -73,6 +73,8 @@
   explicit ListeningSocket(int backlog = kDefaultBacklog);
 
   int port() const { return port_; }
+  // Gives later connections a receive buffer of this size, which does not grow.
+  void limit_receive_buffer(int bytes) const;
   // Stops listening and frees the port.
   void close() { descriptor_.close(); }
   // Refuses connections from now on, but keeps the port, because another test's process must not get the
