--- a/tests/node_unit/send_progress_test.cpp
+++ b/tests/node_unit/send_progress_test.cpp
@@ -65,7 +65,7 @@
 TEST(SendProgress, ObservationsAreDueBeforeManyBytesAreWritten) {
   SendProgress progress;
   EXPECT_FALSE(progress.is_observation_due());
-  progress.on_bytes_written(128 * 1024, 100);
+  progress.on_bytes_written(128UL * 1024, 100);
   EXPECT_TRUE(progress.is_observation_due());
   progress.observe(std::nullopt, 100);
   EXPECT_FALSE(progress.is_observation_due());
