An agent that pushes lists is polled soon, however long its lists were

Evidence: the node's log, 'discovery poll delayed: next poll in 3 s', 2.9 s before the next list; 24 polls for 28 ends. Ruled out: a slow agent or list (each list arrived within 0.1 s of its poll), the retry delay (0.05 to 0.1 s). Change: for pushed lists, an exhausted budget defers the next poll by 0.1 s at most, after an invalid list by 3 s at most; for lists that are polled, nothing changes.

--- a/node/discovery/discovery_client.cpp
+++ b/node/discovery/discovery_client.cpp
@@ -21,6 +21,7 @@
       config_(config),
       callbacks_(std::move(callbacks)),
       address_(config.discovery_address),
+      budget_(lists_are_pushed()),
       random_(static_cast<std::minstd_rand::result_type>(config.seed)),
       retry_timer_(io) {
   if (config.known_endpoints) version_ = config.known_endpoints->version;
--- a/node/discovery/poll_budget.cpp
+++ b/node/discovery/poll_budget.cpp
@@ -1,6 +1,9 @@
 #include "node/discovery/poll_budget.h"
 
 #include <algorithm>
+#include <limits>
+
+#include "node/discovery/poll_timeouts.h"
 
 namespace asterdrift::node::discovery {
 namespace {
@@ -17,9 +20,15 @@
   bytes_updated_at_ = now;
   if (!is_exhausted()) return;
   const Seconds refill_time = -bytes_left_ / kBytesPerSecond * (1 + jitter / 2);
-  const bool may_exceed_backoff = reason == ChargeReason::kInvalid;
-  defer_until(now +
-              (may_exceed_backoff ? refill_time : std::min(refill_time, apply_jitter(kMaxBackoff, jitter))));
+  defer_until(now + std::min(refill_time, max_delay(reason, jitter)));
+}
+
+// How long an exhausted budget may defer the next poll.
+Seconds PollBudget::max_delay(ChargeReason reason, double jitter) const {
+  const bool is_invalid = reason == ChargeReason::kInvalid;
+  if (is_invalid && !lists_are_pushed_) return std::numeric_limits<Seconds>::infinity();
+  if (lists_are_pushed_ && !is_invalid) return poll_timeouts::kMaxAgentPollDelay;
+  return apply_jitter(kMaxBackoff, jitter);
 }
 
 void PollBudget::record_invalid_list(Seconds now, double jitter) {
--- a/node/discovery/poll_budget.h
+++ b/node/discovery/poll_budget.h
@@ -8,9 +8,14 @@
 namespace asterdrift::node::discovery {
 
 // A token bucket of bytes for responses without a usable list, and an exponential backoff after invalid
-// lists. Polls that receive nothing are not charged, and are retried soon. Notification within
-// poll_timeouts::kNotifiedAfter takes precedence over the budget, except after invalid lists, which another
-// poll would only repeat.
+// lists. Polls that receive nothing are not charged, and are retried soon. Notification in time takes
+// precedence over the budget, except after invalid lists, which another poll would only repeat:
+// - For lists that are polled, a change counts as notified after poll_timeouts::kNotifiedAfter, and an
+// exhausted
+//   budget defers a poll by kMaxBackoff at most.
+// - For lists that an agent on this host pushes, a change counts as notified as soon as the agent has the
+//   change. The next list may contain a draining endpoint, however many bytes the lists before had, so an
+//   exhausted budget defers a poll by poll_timeouts::kMaxAgentPollDelay at most.
 class PollBudget {
  public:
   static constexpr double kBytesPerSecond = 29'000;  // refill rate
@@ -27,6 +32,8 @@
     kInvalid     // the list was not valid
   };
 
+  explicit PollBudget(bool lists_are_pushed = false) : lists_are_pushed_(lists_are_pushed) {}
+
   // Charges bytes that were received without a usable list. jitter: a random number from 0 to 1, so that
   // the nodes do not all poll at the same time.
   void charge(Seconds now, std::size_t bytes, double jitter, ChargeReason reason);
@@ -47,8 +54,10 @@
   void allow_immediate_poll();
 
  private:
+  Seconds max_delay(ChargeReason reason, double jitter) const;
   void defer_until(Seconds time);
 
+  const bool lists_are_pushed_;
   double bytes_left_ = kBurstBytes;
   Seconds bytes_updated_at_ = 0;
   Seconds backoff_ = 0;
--- a/tests/node/discovery_test.cpp
+++ b/tests/node/discovery_test.cpp
@@ -216,6 +216,30 @@
   fixture.request_until_served_by(client, fixture.servers[1]);
 }
 
+// Guards against draining servers that get requests since an agent whose watches end is not polled for
+// seconds: in a large fleet, some twenty snapshots had used up the byte budget of polls.
+TEST(Discovery, AgentIsPolledAgainAtOnceAfterManyLongSnapshots) {
+  constexpr int kSnapshots = 32;
+  constexpr int kOtherServers = 3200;
+  constexpr double kDrainGrace = 0.35;
+  LongTimeoutFixture fixture;
+  fixture.config.awaits_watch = false;
+  std::string entries = fixture.server_entry(0);
+  for (int i = 0; i < kOtherServers; ++i)
+    entries += "," + endpoint("other-" + std::to_string(i), 1, "leaving");
+  fixture.start_with(entries);
+  double total_gap_s = 0;
+  for (int i = 0; i < kSnapshots; ++i) {
+    fixture.send_on_watch("\n");
+    fixture.watch.send("0\r\n\r\n");  // ends the watch properly
+    const Stopwatch stopwatch;
+    fixture.accept_watch();
+    total_gap_s += stopwatch.seconds();
+    fixture.announce_snapshot(8 + i, entries);
+  }
+  EXPECT_LT(total_gap_s, kSnapshots * kDrainGrace) << "some 3 s in total, and more on a busy machine";
+}
+
 // The old watch receives no more lists, and the new address does not respond at first.
 TEST(Discovery, WatchMigratesWhileBothAddressesAreSilent) {
   for (const bool awaits_watch : {false, true}) {
--- a/tests/node_unit/poll_budget_test.cpp
+++ b/tests/node_unit/poll_budget_test.cpp
@@ -68,6 +68,32 @@
   }
 }
 
+// Guards against an agent that is not polled for seconds after many long lists, while it has the news that a
+// server drains. However many bytes its lists had, the next poll is not put off; after an invalid list, which
+// the next poll would repeat, by no more than the backoff.
+TEST(PollBudget, AgentThatPushesListsIsPolledSoonAfterListsOfAnySize) {
+  constexpr bool kListsArePushed = true;
+  for (const std::size_t bytes : {std::size_t{300}, std::size_t{400'000}, std::size_t{4'000'000}}) {
+    PollBudget budget(kListsArePushed);
+    for (int i = 0; i < 1000; ++i) {
+      const Seconds now = 100 + i * 0.1;
+      budget.charge(now, bytes, 1, PollBudget::ChargeReason::kRepeated);
+      budget.charge(now, bytes, 1, PollBudget::ChargeReason::kTruncated);
+      ASSERT_LE(budget.poll_delay(now), poll_timeouts::kMaxAgentPollDelay) << bytes << ", poll " << i;
+    }
+    for (int i = 0; i < 100; ++i) {
+      const Seconds now = 1000 + i * 3;
+      budget.charge(now, bytes, 1, PollBudget::ChargeReason::kInvalid);
+      budget.record_invalid_list(now, 1);
+      ASSERT_LE(budget.poll_delay(now), PollBudget::kMaxBackoff) << bytes << ", invalid list " << i;
+    }
+    EXPECT_GE(budget.poll_delay(1000 + 99 * 3), PollBudget::kMaxBackoff) << bytes;
+    budget.record_valid_list();
+    budget.charge(2000, bytes, 1, PollBudget::ChargeReason::kRepeated);
+    EXPECT_LE(budget.poll_delay(2000), poll_timeouts::kMaxAgentPollDelay) << bytes << ", after a mended list";
+  }
+}
+
 TEST(PollBudget, BacksOffAfterInvalidListsButNotAfterFailedPolls) {
   PollBudget budget;
   PollBudget with_min_jitter;
