--- a/node/downstream/connection.cpp
+++ b/node/downstream/connection.cpp
@@ -40,7 +40,8 @@
       input_(server.body_budget),
       reader_(server),
       accounting_(server),
-      sender_(*this, socket_) {
+      sender_(*this, socket_),
+      upload_deadline_(server.dispatcher, reader_, socket_) {
   ++server_.connections;
 }
 
@@ -82,21 +83,7 @@
 void Connection::probe_upload() {
   if (!is_in(State::kUploading) || !request_id_) return;
   if (reader_.is_paused() && has_client_disconnected()) return close();
-  const std::size_t unread = net::unread_bytes(socket_.native_handle());
-  if (unread == 0) return on_upload_socket_empty();
-  upload_progress_.sample(now(), reader_.read_body_bytes() + unread);
-  const std::optional<Seconds> sent_after = upload_progress_.sent_after(reader_.min_body_bytes(unread));
-  if (reader_.is_paused() && reader_.is_upload_within(unread)) {
-    server_.dispatcher.on_body_received(*request_id_, sent_after.value_or(now()));
-  } else if (sent_after) {
-    server_.dispatcher.on_body_maybe_sent(*request_id_, *sent_after);
-  }
-}
-
-// The client has not sent the last byte yet.
-void Connection::on_upload_socket_empty() {
-  upload_progress_.reset();
-  if (!reader_.is_paused()) server_.dispatcher.on_body_resumed(*request_id_);
+  upload_deadline_.probe(*request_id_);
 }
 
 Seconds Connection::receive_deadline(Seconds min_age) const {
@@ -188,8 +175,8 @@
     return discarded_bytes_ > memory::kMaxBodyBytes ? close() : wait_until_readable();
   }
   const bool begins_request = !is_in(State::kReading) && !is_in(State::kUploading);
-  if (begins_request) unread_since_ = received.arrived_at;
-  if (received.size < max_bytes && is_socket_empty()) unread_since_ = now();
+  if (begins_request) upload_deadline_.set_unread_since(received.arrived_at);
+  if (received.size < max_bytes && is_socket_empty()) upload_deadline_.set_unread_since(now());
   const std::string_view bytes(server_.read_buffer.data(), received.size);
   if (is_in(State::kAwaitingResponse) || is_in(State::kWriting)) {
     // Bytes left unread in the socket would hide a disconnection of the client.
@@ -213,7 +200,7 @@
 }
 
 void Connection::begin_request() {
-  upload_progress_.reset();
+  upload_deadline_.reset();
   is_delivered_ = false;
   std::string().swap(unrepeatable_id_);
   reader_.begin(now());
@@ -261,11 +248,7 @@
 
 // The server takes no more bytes of the upload, and the last byte may arrive unread.
 void Connection::on_upload_blocked() {
-  if (!request_id_) return;
-  const std::size_t unread = net::unread_bytes(socket_.native_handle());
-  upload_progress_.sample(now(), reader_.read_body_bytes() + unread);
-  const bool may_be_sent = upload_progress_.sent_after(reader_.min_body_bytes(unread)).has_value();
-  server_.dispatcher.on_body_blocked(*request_id_, unread_since_, may_be_sent);
+  if (request_id_) upload_deadline_.on_blocked(*request_id_);
 }
 
 void Connection::resume_upload() {
@@ -277,12 +260,11 @@
 
 // Called when the last byte of a streamed body has arrived.
 void Connection::finish_upload() {
-  const Seconds arrived_at = input_.parsed_bytes_arrived_at();
-  const Seconds sent_after = upload_progress_.sent_after(reader_.read_body_bytes()).value_or(arrived_at);
+  const Seconds sent_at = upload_deadline_.sent_at(input_.parsed_bytes_arrived_at());
   enter(State::kAwaitingResponse);
   if (has_client_disconnected()) return close();
   reader_.finish_upload();
-  if (request_id_) server_.dispatcher.on_body_received(*request_id_, std::min(arrived_at, sent_after));
+  if (request_id_) server_.dispatcher.on_body_received(*request_id_, sent_at);
   wait_until_readable();
 }
 
--- a/node/downstream/connection.h
+++ b/node/downstream/connection.h
@@ -16,7 +16,7 @@
 #include "node/downstream/request_reader.h"
 #include "node/downstream/response_sender.h"
 #include "node/downstream/server_state.h"
-#include "node/downstream/upload_progress.h"
+#include "node/downstream/upload_deadline.h"
 
 namespace asterdrift::node::downstream {
 
@@ -78,7 +78,6 @@
   void finish_upload();
   void on_upload_blocked();
   void resume_upload();
-  void on_upload_socket_empty();
   RequestReader::Callbacks reader_callbacks();
 
   void handle_request();
@@ -109,11 +108,9 @@
   RequestReader reader_;
   RequestAccounting accounting_;
   ResponseSender sender_;
+  UploadDeadline upload_deadline_;
   bool is_read_wait_pending_ = false;
   bool has_responded_ = false;
-  // All bytes that have not been read arrived after this time on the steady clock.
-  Seconds unread_since_ = 0;
-  UploadProgress upload_progress_;
   // How many bytes have been received after the last response.
   std::size_t discarded_bytes_ = 0;
 
