--- a/node/discovery/poll_budget.h
+++ b/node/discovery/poll_budget.h
@@ -10,8 +10,7 @@
 // A token bucket of bytes for responses without a usable list, and an exponential backoff after invalid
 // lists. Polls that receive nothing are not charged, and are retried soon. Notification in time takes
 // precedence over the budget, except after invalid lists, which another poll would only repeat:
-// - For lists that are polled, a change counts as notified after poll_timeouts::kNotifiedAfter, and an
-// exhausted
+// - For lists that are polled, a change counts as notified after poll_timeouts::kNotifiedAfter. An exhausted
 //   budget defers a poll by kMaxBackoff at most.
 // - For lists that an agent on this host pushes, a change counts as notified as soon as the agent has the
 //   change. The next list may contain a draining endpoint, however many bytes the lists before had, so an
